Add the sender on real sockets

The module learns of a message's history (Past) and of a shutdown (Closing); neither occurs on the simulator's wire.

--- /dev/null
+++ b/cmd/cometrack/main.go
@@ -0,0 +1,44 @@
+// Command cometrack is one sender on real sockets: it takes messages from clients
+// over RESP2 and delivers them to the endpoints of their destinations over HTTP.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"ravenmount/internal/node"
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := run(log); err != nil {
+		log.Error("cometrack", "err", err)
+		os.Exit(1)
+	}
+}
+
+func run(log *slog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cfg, err := node.LoadConfig()
+	if err != nil {
+		return err
+	}
+	if c := cfg.Limits.Cores; c > 0 {
+		runtime.GOMAXPROCS(max(int(math.Ceil(c)), 1))
+	}
+	if m := cfg.Limits.MemoryMB; m > 0 {
+		debug.SetMemoryLimit(int64(m * 0.7 * (1 << 20)))
+	}
+	n, err := node.New(cfg, log)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,97 @@
+// Package node is the sender on real sockets: it takes messages from clients,
+// keeps them in a journal, and lets a logic.Sender decide what is sent where and
+// when. It decides nothing about messages itself.
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	"ravenmount/internal/wire"
+)
+
+// Limits are the bounds that the platform sets for the process.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+	DiskMB   float64 `json:"disk_mb"`
+}
+
+// Config is what the platform tells a sender at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	StateDir  string
+	Seed      uint64
+	Limits    Limits
+	Known     List
+	Deploy    wire.Deployment
+	Classes   map[string]int
+	Tenants   map[string]int
+}
+
+// LoadConfig reads the environment and the file that it names.
+func LoadConfig() (*Config, error) {
+	path := os.Getenv("BALANCER_CONFIG")
+	if path == "" {
+		return nil, errors.New("BALANCER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read config: %w", err)
+	}
+	cfg, err := ParseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("config %s: %w", path, err)
+	}
+	cfg.StateDir = os.Getenv("BALANCER_STATE")
+	for name, field := range map[string]*string{"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen,
+		"BALANCER_DISCOVERY": &cfg.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*field = v
+		}
+	}
+	if cfg.StateDir == "" || cfg.Listen == "" || cfg.Discovery == "" {
+		return nil, errors.New("BALANCER_STATE, BALANCER_LISTEN and BALANCER_DISCOVERY must be set")
+	}
+	return cfg, nil
+}
+
+// ParseConfig reads the text of the configuration file.
+func ParseConfig(text []byte) (*Config, error) {
+	var in struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     List            `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return nil, err
+	}
+	deploy, err := wire.ParseDeployment(in.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	cfg := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known,
+		Deploy: deploy, Classes: map[string]int{}, Tenants: map[string]int{}}
+	if in.Seed != "" {
+		if cfg.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %w", err)
+		}
+	}
+	for i, c := range deploy.Settings.Classes {
+		cfg.Classes[c.Name] = i
+	}
+	for i, t := range deploy.Settings.Tenants {
+		cfg.Tenants[t.Name] = i
+	}
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"ravenmount/logic"
+)
+
+const (
+	watchHold  = 20 * time.Second       // how long a watch may wait for news
+	watchSlack = 3 * time.Second        // and how much later its answer may come
+	listTime   = 6 * time.Second        // for the whole list
+	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
+	maxList    = 4 << 20
+)
+
+// List is discovery's answer.
+type List struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"` // the whole list
+	Instances  []Instance `json:"instances"`
+}
+
+// Instance is one endpoint of the list.
+type Instance struct {
+	ID        string  `json:"instanceId"`
+	HostPort  string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Dest      int64   `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+}
+
+// listEvent is news of the list, or of a call for it that failed.
+type listEvent struct {
+	list List
+	err  error
+}
+
+// directory maps the list's names to the module's numbers. The loop owns it.
+type directory struct {
+	zones []string
+	kinds []logic.Kind
+	ids   map[string]logic.EndpointID
+	eps   map[logic.EndpointID]target
+}
+
+// target is where an endpoint can be reached.
+type target struct {
+	addr string
+	zone int
+}
+
+func newDirectory(cfg *Config) *directory {
+	return &directory{zones: cfg.Deploy.Zones, kinds: cfg.Deploy.Settings.Kinds,
+		ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]target{}}
+}
+
+// take turns a list into the module's entries. An endpoint keeps its number for
+// the life of the process, whatever its address.
+func (d *directory) take(l List) []logic.Entry {
+	rows := make([]logic.Entry, 0, len(l.Instances))
+	for _, in := range l.Instances {
+		id, ok := d.ids[in.ID]
+		if !ok {
+			id = logic.EndpointID(len(d.ids) + 1)
+			d.ids[in.ID] = id
+		}
+		row := logic.Entry{Endpoint: id, Zone: slices.Index(d.zones, in.Zone), Dest: in.Dest, Nominal: in.Weight,
+			Kind: slices.IndexFunc(d.kinds, func(k logic.Kind) bool { return k.Name == in.Kind })}
+		switch in.Lifecycle {
+		case "up":
+			row.State = logic.Ready
+		case "removed":
+			row.State = logic.Gone
+		default: // a state that is not known is no invitation to send
+			row.State = logic.Draining
+		}
+		if in.HostPort != "" {
+			d.eps[id] = target{in.HostPort, row.Zone}
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// discovery asks for the list. A watch runs from listen until a call fails.
+type discovery struct {
+	base    string
+	client  *http.Client
+	log     *slog.Logger
+	events  chan<- any
+	gen     int64 // of the list that the loop has; used by one watch at a time
+	started bool  // there is such a list
+}
+
+func newDiscovery(addr string, log *slog.Logger, events chan<- any) *discovery {
+	return &discovery{base: "http://" + addr, log: log, events: events, client: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
+}
+
+// watch reports changes until a call fails. Each call follows the last answer at
+// once, so that nothing is missed in between.
+func (d *discovery) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		url, limit := d.base+"/discovery/hosts", listTime
+		if d.started {
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, watchHold.Milliseconds())
+			limit = watchHold + watchSlack
+		}
+		at := time.Now()
+		list, err := d.get(ctx, url, limit)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			d.log.Warn("discovery", "err", err)
+			d.events <- listEvent{err: err}
+			return
+		}
+		d.gen, d.started = list.Generation, true
+		d.events <- listEvent{list: list}
+		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
+			time.Sleep(emptyPause)
+		}
+	}
+}
+
+func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (List, error) {
+	var list List
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return list, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return list, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+		return list, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
+		return list, fmt.Errorf("read list: %w", err)
+	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+	return list, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -16,6 +16,7 @@
 	Zones     []string `json:"zones"`
 	Tick      float64  `json:"tick_s"`
 	Mode      string   `json:"membership_mode"`
+	Me        int      `json:"me"`
 	Weights   string   `json:"weights"`
 	Over      float64  `json:"over_share_worth"`
 	Classes   []struct {
@@ -38,6 +39,7 @@
 		MaxTries      int     `json:"max_attempts"`
 		MaxOpen       int     `json:"max_open"`
 		ConnIdle      float64 `json:"conn_idle_s"`
+		ConnTimeout   float64 `json:"connect_timeout_s"`
 		ConnCalls     int     `json:"multiplex"`
 		MaxRetryAfter float64 `json:"max_retry_after_s"`
 		MayCancel     bool    `json:"may_cancel"`
@@ -75,15 +77,34 @@
 // micros turns seconds of the JSON text into whole microseconds.
 func micros(s float64) logic.Micros { return logic.Micros(math.Round(s * float64(logic.Second))) }
 
-// ParseSettings reads the JSON object of a create event. Whether the values make
-// sense is for logic.New to say.
+// Deployment is what the JSON object states: the module's settings, and what only
+// the program around it needs.
+type Deployment struct {
+	Settings       logic.Settings
+	Me             int      // number of this sender
+	Zones          []string // names, in the order of logic.Entry.Zone
+	ConnectTimeout logic.Micros
+}
+
+// ParseSettings reads the module's settings from the JSON object of a create
+// event. Whether the values make sense is for logic.New to say.
 func ParseSettings(text []byte) (logic.Settings, error) {
+	d, err := ParseDeployment(text)
+	return d.Settings, err
+}
+
+// ParseDeployment reads the whole JSON object.
+func ParseDeployment(text []byte) (Deployment, error) {
 	var in setup
-	var out logic.Settings
 	if err := json.Unmarshal(text, &in); err != nil {
-		return out, err
+		return Deployment{}, err
 	}
-	out = logic.Settings{Senders: in.Balancers, Zone: in.Zone, Zones: len(in.Zones), Slots: in.Facts.Slots,
+	set, err := in.settings()
+	return Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout)}, err
+}
+
+func (in *setup) settings() (logic.Settings, error) {
+	out := logic.Settings{Senders: in.Balancers, Zone: in.Zone, Zones: len(in.Zones), Slots: in.Facts.Slots,
 		ConnIdle: micros(in.Limits.ConnIdle), ConnCalls: in.Limits.ConnCalls, ConnPrice: in.Charges.Handshake,
 		MaxOpen: in.Limits.MaxOpen, MaxTries: in.Limits.MaxTries, Tick: micros(in.Tick),
 		OnRequest: in.Mode == "on_request", Probing: in.Limits.Probing, MayCancel: in.Limits.MayCancel,
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -316,6 +316,9 @@
 	case m.deadline-s.now <= max(s.usual(m), 2*s.set.Tick): // median gate
 		return false, never
 	}
+	if s.closeAt != 0 && s.now+s.lasts(m, e) > s.closeAt { // it stays in the journal for the next start
+		return false, never
+	}
 	if l := m.line; l != nil { // order of its key
 		if l.q[0] != m {
 			return false, never
@@ -352,6 +355,15 @@
 	return true, 0
 }
 
+// lasts is the time that an attempt needs before this sender stops. One that is cut off by the stop is resent
+// if its class allows it, but an unsafe one is lost.
+func (s *Sender) lasts(m *msg, e *endpoint) Micros {
+	if h := &e.dest.hist; m.class.Effect != Unsafe && h.total >= minWeight {
+		return h.p95
+	}
+	return s.stuckAfter(e.dest, m)
+}
+
 // health holds messages back from an endpoint that seems out: single trials only, unsafe messages last.
 func (s *Sender) health(m *msg, e *endpoint) Micros {
 	if e.suspect {
@@ -845,6 +857,19 @@
 	return s.set.MaxRetryAfter
 }
 
+// resume takes up a message where a restart cut it off: its attempts count, and one without an outcome may
+// have run. What may not be sent again ends at once.
+func (s *Sender) resume(m *msg, p Past) {
+	if p.Tries == 0 {
+		return
+	}
+	m.tries = p.Tries
+	if m.mayRun = p.MayRun; m.mayRun {
+		m.firstMay, m.mayZone = s.now-p.Age, p.Zone
+	}
+	s.endIfStuck(m)
+}
+
 // endIfStuck ends a message that no further attempt can help.
 func (s *Sender) endIfStuck(m *msg) {
 	c := m.class
--- a/logic/state.go
+++ b/logic/state.go
@@ -143,6 +143,7 @@
 	timer     Micros // when the last timer set goes off; 0 if none is out
 	askAt     Micros // when to ask for the list; never if asked
 	askGap    Micros
+	closeAt   Micros // when this sender stops; 0 if it does not
 	logs      int
 	many      bool            // senders
 	turned    map[int]float64 // by kind, share of calls turned away
@@ -327,6 +328,7 @@
 		line.q = append(line.q, m)
 		m.line = line
 	}
+	s.resume(m, c.Past)
 }
 
 // keepOnly takes off the list what is not among the entries.
@@ -397,6 +399,8 @@
 				s.cancel(m.out)
 			}
 		}
+	case Closing:
+		s.closeAt = s.now + ev.Left
 	case Due:
 		if s.now >= s.timer {
 			s.timer = 0
--- a/logic/types.go
+++ b/logic/types.go
@@ -152,7 +152,7 @@
 	Entries []Entry
 }
 
-// Call is a new message.
+// Call is a new message, or one that this sender had before a restart.
 type Call struct {
 	ID     string
 	Left   Micros // how long it may still be delivered
@@ -160,8 +160,22 @@
 	Dest   int64
 	Tenant int // -1 if none
 	Class  int
+	Past   Past
 }
 
+// Past is what became of a message before a restart; the zero value is that of a
+// new message.
+type Past struct {
+	Tries  int    // attempts made
+	MayRun bool   // one of them may have run
+	Age    Micros // time since the first that may have run was sent
+	Zone   int    // zone of its endpoint
+}
+
+// Closing says that the sender stops within Left: what cannot finish by then is
+// not to be begun.
+type Closing struct{ Left Micros }
+
 // Started says that a stream has begun to flow: nothing more can be done for
 // the message.
 type Started struct {
@@ -216,6 +230,7 @@
 func (ClientGone) isEvent()   {}
 func (Due) isEvent()          {}
 func (HealthResult) isEvent() {}
+func (Closing) isEvent()      {}
 
 // Action is something to do: one of the types below.
 type Action interface{ isAction() }
