Test the sender over loopback sockets; notice a lone hanging call in time

Seen: in the loopback test of a silent endpoint the call was called off only at its deadline, 10 s late. Ruled out: caller and timers (the Due came when asked for). Cause: cutLong runs before dispatch, so the step that launches a call sets no timer for it; with no other event nothing looks at it. launch now sets it. Also: calls still connecting when a wait or a drain becomes known are not written any more (held as never sent), and a put repeated within one step shares the first one's answer.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ravenmount/logic"
@@ -33,8 +34,16 @@
 	addr    string
 	giveUp  time.Duration
 	request *http.Request
+	state   *atomic.Int32
 }
 
+// The states of a call. It goes from the first to one of the others, once.
+const (
+	callConnecting int32 = iota
+	callWritten          // from here on it may have run
+	callHeld             // it is not to be written
+)
+
 // result is how a call ended.
 type result struct {
 	outcome logic.Outcome
@@ -55,7 +64,7 @@
 // twice, and it knows whether the last byte was written: that tells what never
 // ran from what may have run. net/http's transport does neither.
 type caller struct {
-	connectTime time.Duration
+	dialer      net.Dialer
 	idleTime    time.Duration
 	perEndpoint int
 	most        int // idle connections in all
@@ -65,14 +74,20 @@
 }
 
 func newCaller(connectTime, idleTime time.Duration, perEndpoint, most int) *caller {
-	return &caller{connectTime: connectTime, idleTime: idleTime, perEndpoint: max(perEndpoint, 1), most: max(most, 1),
+	return &caller{dialer: net.Dialer{Timeout: connectTime}, idleTime: idleTime, perEndpoint: max(perEndpoint, 1), most: max(most, 1),
 		idle: map[logic.EndpointID][]*idleConn{}}
 }
 
 // do makes a call. When ctx is cancelled the call is called off.
-func (c *caller) do(ctx context.Context, in call) result {
+func (c *caller) do(ctx context.Context, in *call) result {
 	deadline := time.Now().Add(in.giveUp)
 	conn, err := c.connect(ctx, in, deadline)
+	if !in.state.CompareAndSwap(callConnecting, callWritten) {
+		if err == nil && !c.put(in.ep, conn) {
+			conn.Close()
+		}
+		return result{outcome: logic.Moot}
+	}
 	if err != nil {
 		return result{outcome: logic.RefusedConn}
 	}
@@ -134,14 +149,13 @@
 }
 
 // connect takes a kept connection or makes one.
-func (c *caller) connect(ctx context.Context, in call, deadline time.Time) (*idleConn, error) {
+func (c *caller) connect(ctx context.Context, in *call, deadline time.Time) (*idleConn, error) {
 	if conn := c.take(in.ep, in.addr); conn != nil {
 		return conn, nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	d := net.Dialer{Timeout: c.connectTime}
-	conn, err := d.DialContext(ctx, "tcp", in.addr)
+	conn, err := c.dialer.DialContext(ctx, "tcp", in.addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -22,6 +22,7 @@
 	lastRequest  = 200 * time.Millisecond // at a shutdown, for a request that has begun to come
 	maxIDLen     = 128
 	acceptPause  = 5 * time.Millisecond
+	answerOK     = "+OK\r\n"
 	answerFailed = "-ERR failed\r\n"
 )
 
@@ -184,6 +185,12 @@
 		return m, errors.New("MSG.PUT wants a key, an id, a list of names and values, and a body")
 	}
 	m.ID, m.Body = string(args[1]), args[3]
+	if key := string(args[0]); strings.Trim(key, "0") != "" {
+		if len(key) > maxIDLen {
+			return m, errors.New("bad key")
+		}
+		m.Order = key
+	}
 	if m.ID == "" || len(m.ID) > maxIDLen || !plain(m.ID) {
 		return m, errors.New("bad id")
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -58,6 +58,8 @@
 type target struct {
 	addr string
 	zone int
+	dest int64
+	kind int
 }
 
 func newDirectory(cfg *Config) *directory {
@@ -86,7 +88,7 @@
 			row.State = logic.Draining
 		}
 		if in.HostPort != "" {
-			d.eps[id] = target{in.HostPort, row.Zone}
+			d.eps[id] = target{in.HostPort, row.Zone, row.Dest, row.Kind}
 		}
 		rows = append(rows, row)
 	}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -16,7 +16,8 @@
 // Message is a message as a client handed it in.
 type Message struct {
 	ID       string `json:"id"`
-	Key      string `json:"key,omitempty"` // idempotency key
+	Key      string `json:"key,omitempty"`   // idempotency key
+	Order    string `json:"order,omitempty"` // order key
 	Class    string `json:"class"`
 	Tenant   string `json:"tenant,omitempty"`
 	Dest     int64  `json:"dest"`
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"ravenmount/logic"
@@ -15,12 +17,13 @@
 	stopSends  = 3200 * time.Millisecond // what is sent after SIGTERM must end by then
 	stopAll    = 3400 * time.Millisecond // and the process must be gone soon after this
 	sweepEvery = time.Second
+	retryPause = 250 * time.Millisecond // of an attempt that could not be written to the journal
 	eventRoom  = 4096
 )
 
 // replyEvent is the one outcome of an attempt.
 type replyEvent struct {
-	call   call
+	call   *call
 	result result
 	took   time.Duration
 }
@@ -40,6 +43,7 @@
 	tries int
 	over  bool               // ended; an attempt is still out
 	stop  context.CancelFunc // of the attempt that is out
+	call  *call              // that attempt
 }
 
 // Node is one sender.
@@ -54,6 +58,7 @@
 	notices *notices
 	clients *clients
 	events  chan any
+	ready   chan net.Addr // gets the address once clients are served
 
 	// What follows belongs to the loop.
 	start    time.Time
@@ -84,7 +89,7 @@
 	}
 	n := &Node{cfg: cfg, log: log, journal: journal, sender: sender, dir: newDirectory(cfg),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
-		events: make(chan any, eventRoom), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
+		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.disc = newDiscovery(cfg.Discovery, log, n.events)
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
@@ -109,7 +114,8 @@
 	}
 	go n.notices.run(work)
 	go n.clients.serve(ln)
-	n.log.Info("ready", "name", n.cfg.Name, "held", len(n.held))
+	n.log.Info("ready", "name", n.cfg.Name, "addr", ln.Addr().String(), "held", len(n.held))
+	n.ready <- ln.Addr()
 	served := make(chan struct{}) // closed when no client is left
 	stopped := make(chan struct{})
 	go func() {
@@ -206,7 +212,7 @@
 
 // callOf is the module's view of a message.
 func (n *Node) callOf(m *Message, now int64) logic.Call {
-	c := logic.Call{ID: m.ID, Left: logic.Micros(m.Deadline - now), Dest: m.Dest, Tenant: -1, Class: n.cfg.Classes[m.Class]}
+	c := logic.Call{ID: m.ID, Key: m.Order, Left: logic.Micros(m.Deadline - now), Dest: m.Dest, Tenant: -1, Class: n.cfg.Classes[m.Class]}
 	if t, ok := n.cfg.Tenants[m.Tenant]; ok && m.Tenant != "" {
 		c.Tenant = t
 	}
@@ -245,10 +251,10 @@
 	_, over := n.recent[id]
 	if n.held[id] != nil || n.journal.Entry(id) != nil || over {
 		if n.waits(id) {
-			ev.answer <- busy(0) // the first of the two has no answer yet
+			n.puts = append(n.puts, ev) // it gets the answer of the first
 			return
 		}
-		ev.answer <- "+OK\r\n"
+		ev.answer <- answerOK
 		return
 	}
 	most := n.cfg.Deploy.Settings.MaxOpen
@@ -290,7 +296,12 @@
 	if ev.list.Reset {
 		form = logic.ListFull
 	}
-	n.next = append(n.next, logic.Endpoints{Form: form, Entries: n.dir.take(ev.list)})
+	rows := n.dir.take(ev.list)
+	n.hold(func(ep logic.EndpointID) bool {
+		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
+		return i >= 0 && rows[i].State != logic.Ready || i < 0 && ev.list.Reset
+	})
+	n.next = append(n.next, logic.Endpoints{Form: form, Entries: rows})
 }
 
 func (n *Node) reply(ev replyEvent) {
@@ -300,9 +311,12 @@
 	}
 	if h.stop != nil {
 		h.stop()
-		h.stop = nil
+		h.stop, h.call = nil, nil
 	}
 	r := ev.result
+	if r.wait > 0 {
+		n.holdWait(ev.call.ep)
+	}
 	ended := h.over
 	done := r.outcome == logic.Completed || r.over
 	switch {
@@ -351,8 +365,9 @@
 	n.next = nil
 	actions := n.sender.Step(micros(time.Since(n.start)), events)
 	answers := n.answers(actions)
-	for _, p := range n.puts {
-		if answers[p.msg.ID] == "" {
+	for i, p := range n.puts {
+		again := slices.ContainsFunc(n.puts[:i], func(x putEvent) bool { return x.msg.ID == p.msg.ID })
+		if answers[p.msg.ID] == "" && !again {
 			m := p.msg
 			n.records = append(n.records, record{Op: opAccept, Entry: &Entry{Message: m}})
 		}
@@ -383,7 +398,7 @@
 			n.drop(p.msg.ID)
 			n.next = append(n.next, logic.ClientGone{ID: p.msg.ID})
 		default:
-			p.answer <- "+OK\r\n"
+			p.answer <- answerOK
 		}
 	}
 	n.puts = nil
@@ -470,23 +485,25 @@
 // callOut makes an attempt. Without its record in the journal it is not made.
 func (n *Node) callOut(work context.Context, a logic.CallOut, written bool) {
 	h := n.held[a.ID]
-	if h == nil {
-		return // never taken on
+	if h == nil { // never taken on; the module is still owed its one outcome
+		n.next = append(n.next, logic.Reply{ID: a.ID, NoMore: true, Endpoint: a.Endpoint, Outcome: logic.Moot})
+		return
 	}
 	attempt := h.tries
 	h.tries++
 	to := n.dir.eps[a.Endpoint]
-	in := call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp)}
+	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp), state: new(atomic.Int32)}
+	ctx, stop := context.WithCancel(work)
+	h.stop, h.call = stop, in
 	var err error
 	if in.request, err = deliverRequest(h.msg, to.addr, in.giveUp); err != nil || !written {
 		if err != nil {
 			n.log.Error("call", "err", err)
 		}
-		n.reply(replyEvent{call: in, result: result{outcome: logic.Moot}})
+		ev := replyEvent{in, result{outcome: logic.Moot}, 0}
+		time.AfterFunc(retryPause, func() { n.events <- ev }) // a full disk, say: room may come
 		return
 	}
-	ctx, stop := context.WithCancel(work)
-	h.stop = stop
 	go func() {
 		at := time.Now()
 		r := n.caller.do(ctx, in)
@@ -494,12 +511,30 @@
 	}()
 }
 
+// hold keeps calls that are still connecting from being written: what the module decided before it knew better
+// would reach the endpoint long after. They end as never sent.
+func (n *Node) hold(match func(ep logic.EndpointID) bool) {
+	for _, h := range n.held {
+		if h.stop != nil && match(h.call.ep) && h.call.state.CompareAndSwap(callConnecting, callHeld) {
+			h.stop()
+		}
+	}
+}
+
+// holdWait holds calls to where a wait was told: the destination, or the one route where routes are apart.
+func (n *Node) holdWait(ep logic.EndpointID) {
+	to := n.dir.eps[ep]
+	kinds := n.cfg.Deploy.Settings.Kinds
+	apart := to.kind >= 0 && to.kind < len(kinds) && kinds[to.kind].Apart
+	n.hold(func(x logic.EndpointID) bool { return x == ep || !apart && n.dir.eps[x].dest == to.dest })
+}
+
 func (n *Node) probe(work context.Context, ep logic.EndpointID) {
 	addr := n.dir.eps[ep].addr
 	go func() {
 		out := logic.RefusedConn
 		if req, err := probeRequest(addr); err == nil {
-			out = n.caller.do(work, call{ep: ep, addr: addr, giveUp: probeTime, request: req}).outcome
+			out = n.caller.do(work, &call{ep: ep, addr: addr, giveUp: probeTime, request: req, state: new(atomic.Int32)}).outcome
 		}
 		n.events <- healthEvent{ep, out}
 	}()
--- /dev/null
+++ b/internal/node/process_test.go
@@ -0,0 +1,261 @@
+package node
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// program is built once for all tests.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "cometrack")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "cometrack")
+	out, err := exec.Command("go", "build", "-o", path, "../../cmd/cometrack").CombinedOutput()
+	os.Stderr.Write(out)
+	return path, err
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+// process is the real program.
+type process struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	addr string
+	done chan error
+}
+
+// startProcess starts it with what the platform would tell it and waits until it is ready.
+func startProcess(t *testing.T, p *platform, dir string, known List) *process {
+	t.Helper()
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(config, configText(p, known), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(path)
+	cmd.Env = append(os.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN=127.0.0.1:0",
+		"BALANCER_DISCOVERY="+strings.TrimPrefix(p.srv.URL, "http://"), "BALANCER_STATE="+dir, "BALANCER_CONFIG="+config)
+	logs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	x := &process{t: t, cmd: cmd, done: make(chan error, 1)}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	addr := make(chan string, 1)
+	go func() {
+		for s := bufio.NewScanner(logs); s.Scan(); {
+			if _, rest, ok := strings.Cut(s.Text(), "msg=ready "); ok {
+				_, rest, _ = strings.Cut(rest, "addr=")
+				a, _, _ := strings.Cut(rest, " ")
+				addr <- a
+			}
+		}
+		x.done <- cmd.Wait()
+	}()
+	x.addr = await(t, addr, "ready program")
+	return x
+}
+
+func (x *process) kill() {
+	x.t.Helper()
+	x.cmd.Process.Kill()
+	await(x.t, x.done, "end of the program")
+}
+
+// term sends SIGTERM; end checks that the program ends by itself.
+func (x *process) term() { x.cmd.Process.Signal(syscall.SIGTERM) }
+
+func (x *process) end() {
+	x.t.Helper()
+	if err := await(x.t, x.done, "end of the program"); err != nil {
+		x.t.Errorf("ended with %v", err)
+	}
+}
+
+// A crash with a call out: it may have run. Nothing is handed in again, so the sender itself must send it again
+// where that is harmless, and must not where it is not.
+func TestKillWithCallOut(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	x := startProcess(t, p, dir, known)
+	c := dial(t, x.addr)
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		c.put("m-"+class, class, "+OK")
+		await(t, e.calls, "call")
+	}
+	x.kill()
+	x = startProcess(t, p, dir, known)
+	again := map[string]string{}
+	for range 2 {
+		in := await(t, e.calls, "call again")
+		again[in.id()] = in.req.Header.Get("Idempotency-Key") + " " + in.body
+		in.reply(200)
+	}
+	if again["m-safe"] != "key-m-safe body of m-safe" || again["m-keyed"] != "key-m-keyed body of m-keyed" {
+		t.Errorf("sent again: %v", again)
+	}
+	if n := await(t, p.notices, "notice"); n != (Notice{ID: "m-unsafe", State: "failed"}) {
+		t.Errorf("notice %+v", n)
+	}
+	x.term()
+	x.end()
+	e.none(t)
+	if ids := owed(t, dir); ids != nil {
+		t.Errorf("still owed: %v", ids)
+	}
+}
+
+// Attempts before a crash count: a message that brings the process down each time must not come for ever.
+func TestKillCountsAttempts(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	for i := range 3 { // max_attempts
+		x := startProcess(t, p, dir, known)
+		if i == 0 {
+			dial(t, x.addr).putFor("a", "safe", 16000, "+OK")
+		}
+		await(t, e.calls, "call")
+		x.kill()
+	}
+	x := startProcess(t, p, dir, known)
+	if n := await(t, p.notices, "notice"); n != (Notice{ID: "a", State: "failed"}) {
+		t.Errorf("notice %+v", n)
+	}
+	x.term()
+	x.end()
+	e.none(t)
+}
+
+// What was not sent, or refused, before a crash is sent after it, an unsafe message too; what ran out of time
+// meanwhile is returned, and a notice that nobody confirmed is sent again.
+func TestKillWithoutCallOut(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list, p.deaf = known, true
+	x := startProcess(t, p, dir, known)
+	c := dial(t, x.addr)
+	c.put("failed", "unsafe", "+OK")
+	await(t, e.calls, "call").reply(500)
+	await(t, p.refused, "notice")
+	c.put("refused", "unsafe", "+OK")
+	await(t, e.calls, "call").reply(429, "X-Come-Back-Ms: 60000")
+	// The outcome is in the journal once the sender answers what came after it; two, for the tick between.
+	if got := c.do("MSG.PUT", "0", "short", "c=unsafe,d=600,dest=2", "x"); got != "+OK" {
+		t.Fatalf("got %q", got)
+	}
+	over := time.Now().Add(600 * time.Millisecond)
+	c.put("unsent", "unsafe", "+OK")
+	for stop := time.Now().Add(patience); ; {
+		b, err := os.ReadFile(filepath.Join(dir, journalName))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Count(string(b), `"op":3`) >= 2 { // both outcomes
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatal("no outcome in the journal")
+		}
+	}
+	x.kill()
+	time.Sleep(time.Until(over))
+	p.set(func() { p.deaf = false })
+	x = startProcess(t, p, dir, known)
+	got := map[string]bool{}
+	for range 2 {
+		in := await(t, e.calls, "call")
+		got[in.id()] = true
+		in.reply(200)
+	}
+	if !got["refused"] || !got["unsent"] {
+		t.Errorf("sent: %v", got)
+	}
+	ends := map[string]string{}
+	for range 2 {
+		n := await(t, p.notices, "notice")
+		ends[n.ID] = n.State
+	}
+	if ends["failed"] != "failed" || ends["short"] != "returned" {
+		t.Errorf("notices: %v", ends)
+	}
+	x.term()
+	x.end()
+	e.none(t)
+}
+
+// A planned restart: clients are served a while, connections are closed between requests, calls under way end and
+// are journalled, and the next start owes nothing.
+func TestTermWithCallOut(t *testing.T) {
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+			known := List{Generation: 1, Reset: true, Instances: instances(e)}
+			p.list = known
+			x := startProcess(t, p, dir, known)
+			c := dial(t, x.addr)
+			c.put("a", class, "+OK")
+			in := await(t, e.calls, "call")
+			x.term()
+			if got := c.line(); got != "" { // the connection is closed between requests
+				t.Errorf("got %q", got)
+			}
+			in.reply(200)
+			x.end()
+			if ids := owed(t, dir); ids != nil {
+				t.Errorf("still owed: %v", ids)
+			}
+			if len(p.notices) != 0 {
+				t.Errorf("notice %+v", <-p.notices)
+			}
+		})
+	}
+}
+
+// A call that does not end must not keep the program from ending in time; it stays in the journal as open.
+func TestTermWithSilentCall(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	x := startProcess(t, p, dir, known)
+	dial(t, x.addr).put("a", "unsafe", "+OK")
+	await(t, e.calls, "call")
+	at := time.Now()
+	x.term()
+	x.end()
+	if d := time.Since(at); d > stopAll+2*time.Second {
+		t.Errorf("ended after %v", d)
+	}
+	if ids := owed(t, dir); len(ids) != 1 {
+		t.Errorf("owed: %v", ids)
+	}
+	x = startProcess(t, p, dir, known)
+	if n := await(t, p.notices, "notice"); n != (Notice{ID: "a", State: "failed"}) {
+		t.Errorf("notice %+v", n)
+	}
+	x.kill()
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -300,6 +300,7 @@
 		give = min(give, 2*s.stuckAfter(e.dest, m)) // nothing can be called off here: let it time out
 	}
 	s.do(CallOut{ID: a.m.id, GiveUp: give, Endpoint: e.id})
+	s.at(s.now + s.stuckAfter(e.dest, m) + 1) // looked at in time even if nothing else happens until then
 }
 
 // ---- Rules gate ----------------------------------------------------------------------
