--- /dev/null
+++ b/logic/restart_test.go
@@ -0,0 +1,111 @@
+package logic
+
+import "testing"
+
+// resumed hands a message of a class in as after a restart and returns what is done in that step.
+func resumed(t *testing.T, class int, past Past) []Action {
+	t.Helper()
+	r := newRig(t, base())
+	c := r.call(class)
+	c.Past = past
+	return r.step(100, list(2), c)
+}
+
+// A try that may have run before a restart binds the class as one after it would.
+func TestPastBinds(t *testing.T) {
+	may := Past{Tries: 1, MayRun: true, Age: Second}
+	old := Past{Tries: 1, MayRun: true, Age: 8 * Second} // as old as the keyed window
+	for _, x := range []struct {
+		name  string
+		class int
+		past  Past
+		sent  bool
+	}{
+		{"safe, may have run", 0, may, true},
+		{"keyed, may have run", 1, may, true},
+		{"keyed, out of its window", 1, old, false},
+		{"unsafe, may have run", 2, may, false},
+		{"unsafe, never ran", 2, Past{Tries: 5}, true},
+		{"safe, no attempt left", 0, Past{Tries: 6, MayRun: true}, false},
+	} {
+		acts := resumed(t, x.class, x.past)
+		if n := len(only[CallOut](acts)); (n == 1) != x.sent {
+			t.Errorf("%s: %d sends", x.name, n)
+		}
+		if n := len(only[Fail](acts)); (n == 1) == x.sent {
+			t.Errorf("%s: %d failures", x.name, n)
+		}
+	}
+	// Without a try that may have run the end is a refusal: the client may come again.
+	if acts := resumed(t, 2, Past{Tries: 6}); len(only[Refuse](acts)) != 1 || len(only[Fail](acts)) != 0 {
+		t.Errorf("no attempt left, never ran: %v", acts)
+	}
+}
+
+// Keyed repeats are dropped only by endpoints of the zone where the first try went.
+func TestPastKeepsZone(t *testing.T) {
+	set := base()
+	set.Zones, set.Classes[1].ByZone = 2, true
+	r := newRig(t, set)
+	eps := list(2)
+	eps.Entries[0].Zone, eps.Entries[1].Zone = 0, 1
+	c := r.call(1)
+	c.Past = Past{Tries: 1, MayRun: true, Zone: 1}
+	out := only[CallOut](r.step(100, eps, c))
+	if len(out) != 1 || out[0].Endpoint != 2 {
+		t.Errorf("sent %v, want one to endpoint 2", out)
+	}
+}
+
+// Attempts go on counting where the last process left off: replies name them.
+func TestPastAttemptNumber(t *testing.T) {
+	r := newRig(t, base())
+	c := r.call(0)
+	c.Past = Past{Tries: 5, MayRun: true}
+	r.step(100, list(1), c)
+	acts := r.step(100.1, answer(c.ID, 1, 5, Errored))
+	if len(only[Fail](acts)) != 1 {
+		t.Errorf("after the sixth attempt: %v", acts)
+	}
+}
+
+// A stop must not cut off calls that were begun in view of it: an unsafe one would be lost.
+func TestClosing(t *testing.T) {
+	r := newRig(t, base())
+	r.step(0, list(1))
+	for i := range 8 { // the usual call takes 0.1 s
+		c := r.call(2)
+		r.step(float64(i), c)
+		r.step(float64(i)+0.1, answer(c.ID, 1, 0, Completed))
+	}
+	r.step(10, Closing{Left: 3 * Second})
+	early, late := r.call(2), r.call(2)
+	if n := len(only[CallOut](r.step(10.1, early))); n != 1 {
+		t.Errorf("%d sends with time enough", n)
+	}
+	r.step(10.2, answer(early.ID, 1, 0, Completed))
+	acts := r.step(12.7, late)
+	if len(acts) > 0 && len(only[CallOut](acts))+len(only[Refuse](acts))+len(only[Fail](acts)) != 0 {
+		t.Errorf("shortly before the stop: %v", acts)
+	}
+}
+
+// With nothing else going on, a call that hangs is looked at all the same.
+func TestLoneCallIsWatched(t *testing.T) {
+	r := newRig(t, base())
+	r.step(0, list(2))
+	acts := r.step(1, r.call(0))
+	at, end := 1.0, 0.0
+	for i := 0; i < 20 && len(only[Cancel](acts)) == 0; i++ {
+		timers := only[SetTimer](acts)
+		if len(timers) == 0 {
+			t.Fatal("no timer set")
+		}
+		at += seconds(timers[0].Wait)
+		acts = r.step(at, Due{Token: timers[0].Token})
+		end = at
+	}
+	if end == 0 || end > 6 {
+		t.Errorf("called off at %v s", end)
+	}
+}
