--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -426,8 +427,53 @@
 	stopClean(t, n)
 }
 
-// The module's counts of slots must not leak whatever ends an attempt.
-func TestOutcomeOfWhatIsOver(t *testing.T) {
+// A wait or a drain holds the calls that still connect there, and no others.
+func TestHoldReachesConnectingCalls(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		apart bool
+		learn func(n *Node)
+		held  [4]bool // connecting to endpoints 1 and 2 of destination 1 and 3 of destination 2; written to 1
+	}{
+		{"wait, one limit", false, func(n *Node) { n.holdWait(1) }, [4]bool{true, true, false, false}},
+		{"wait, routes apart", true, func(n *Node) { n.holdWait(1) }, [4]bool{true, false, false, false}},
+		{"drain", false, func(n *Node) {
+			n.list(listEvent{list: List{Instances: []Instance{{ID: "b", Dest: 1, Lifecycle: "draining"}}}})
+		}, [4]bool{false, true, false, false}},
+		{"whole list", false, func(n *Node) {
+			n.list(listEvent{list: List{Reset: true, Instances: []Instance{{ID: "a", Dest: 1, Lifecycle: "up"}}}})
+		}, [4]bool{false, true, true, false}},
+	} {
+		cfg, err := ParseConfig(configText(newPlatform(t), List{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.StateDir = t.TempDir()
+		cfg.Deploy.Settings.Kinds[0].Apart = x.apart
+		n, err := New(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.journal.Close()
+		n.dir.take(List{Instances: []Instance{{ID: "a", HostPort: "h:1", Kind: "std", Dest: 1},
+			{ID: "b", HostPort: "h:2", Kind: "std", Dest: 1}, {ID: "c", HostPort: "h:3", Kind: "std", Dest: 2}}})
+		var calls []*call
+		for i, ep := range []logic.EndpointID{1, 2, 3, 1} {
+			calls = append(calls, &call{ep: ep, state: new(atomic.Int32)})
+			n.held[fmt.Sprint("m", i)] = &held{call: calls[i], stop: func() {}}
+		}
+		calls[3].state.Store(callWritten)
+		x.learn(n)
+		for i, c := range calls {
+			if got := c.state.Load() == callHeld; got != x.held[i] {
+				t.Errorf("%s: call %d held: %v", x.name, i, got)
+			}
+		}
+	}
+}
+
+// Whether an attempt may have run decides after a restart whether an unsafe message is sent again.
+func TestMayHaveRunByOutcome(t *testing.T) {
 	for o, want := range map[logic.Outcome]bool{logic.Completed: true, logic.Errored: true, logic.Overdue: true,
 		logic.Severed: true, logic.Recalled: true, logic.Full: false, logic.RefusedConn: false, logic.Moot: false} {
 		if mayHaveRun(o) != want {
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -163,12 +163,10 @@
 	await(t, p.refused, "notice")
 	c.put("refused", "unsafe", "+OK")
 	await(t, e.calls, "call").reply(429, "X-Come-Back-Ms: 60000")
-	// The outcome is in the journal once the sender answers what came after it; two, for the tick between.
 	if got := c.do("MSG.PUT", "0", "short", "c=unsafe,d=600,dest=2", "x"); got != "+OK" {
 		t.Fatalf("got %q", got)
 	}
 	over := time.Now().Add(600 * time.Millisecond)
-	c.put("unsent", "unsafe", "+OK")
 	for stop := time.Now().Add(patience); ; {
 		b, err := os.ReadFile(filepath.Join(dir, journalName))
 		if err != nil {
@@ -181,6 +179,7 @@
 			t.Fatal("no outcome in the journal")
 		}
 	}
+	c.put("unsent", "unsafe", "+OK") // waits: the sender has been told to
 	x.kill()
 	time.Sleep(time.Until(over))
 	p.set(func() { p.deaf = false })
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,7 @@
 package logic
 
 // Every decision of the module, with its tables and tuned values. The interface (settings, events, actions)
-// is in logic/types.go. docs/design.md says what comes from the design page and what is ours.
+// is in logic/types.go. What is marked "design" comes from the design page, what is marked "ours" is our own.
 
 import (
 	"cmp"
