Follow a new configuration on SIGHUP

Cause: main had no handler for SIGHUP, so its default ended the process (exit 129), and BALANCER_DISCOVERY overrode the file. Now SIGHUP is caught from the first line, the file is read anew, and discovery and notices move: the watch is cancelled and begun anew at once with the whole list, old idle connections are closed, an unconfirmed batch goes to the new address. A file that can't be used changes nothing. The file's discovery goes before the environment's.

Test: TestReload over loopback, against the real program; without the handler the program ends.

--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -16,14 +16,16 @@
 )
 
 func main() {
+	hup := make(chan os.Signal, 1) // from the first line on: SIGHUP must not end the process
+	signal.Notify(hup, syscall.SIGHUP)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log); err != nil {
+	if err := run(log, hup); err != nil {
 		log.Error("cometrack", "err", err)
 		os.Exit(1)
 	}
 }
 
-func run(log *slog.Logger) error {
+func run(log *slog.Logger, hup <-chan os.Signal) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	cfg, err := node.LoadConfig()
@@ -40,5 +42,6 @@
 	if err != nil {
 		return err
 	}
+	n.ReloadOn(hup, node.LoadConfig)
 	return n.Run(ctx)
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 
@@ -50,15 +51,20 @@
 		return nil, fmt.Errorf("config %s: %w", path, err)
 	}
 	cfg.StateDir = os.Getenv("BALANCER_STATE")
-	for name, field := range map[string]*string{"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen,
-		"BALANCER_DISCOVERY": &cfg.Discovery} {
+	for name, field := range map[string]*string{"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen} {
 		if v := os.Getenv(name); v != "" {
 			*field = v
 		}
 	}
+	if cfg.Discovery == "" { // the file may have been replaced since the start, the environment not
+		cfg.Discovery = os.Getenv("BALANCER_DISCOVERY")
+	}
 	if cfg.StateDir == "" || cfg.Listen == "" || cfg.Discovery == "" {
 		return nil, errors.New("BALANCER_STATE, BALANCER_LISTEN and BALANCER_DISCOVERY must be set")
 	}
+	if _, _, err := net.SplitHostPort(cfg.Discovery); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
 	return cfg, nil
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -20,6 +20,8 @@
 	listTime   = 6 * time.Second        // for the whole list
 	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
 	maxList    = 4 << 20
+	moveTries  = 4                      // calls to a new address that may fail before the module is told
+	movePause  = 200 * time.Millisecond // after each
 )
 
 // List is discovery's answer.
@@ -42,8 +44,9 @@
 
 // listEvent is news of the list, or of a call for it that failed.
 type listEvent struct {
-	list List
-	err  error
+	list  List
+	err   error
+	epoch int // of the address that it comes from
 }
 
 // directory maps the list's names to the module's numbers. The loop owns it.
@@ -95,43 +98,103 @@
 	return rows
 }
 
-// discovery asks for the list. A watch runs from listen until a call fails.
+// discovery asks for the list. A watch runs from its start until a call fails or
+// discovery moves. The loop owns it.
 type discovery struct {
-	base    string
-	client  *http.Client
-	log     *slog.Logger
-	events  chan<- any
-	gen     int64 // of the list that the loop has; used by one watch at a time
-	started bool  // there is such a list
+	addr     string
+	client   *http.Client
+	log      *slog.Logger
+	events   chan<- any
+	gen      int64 // of the list that the loop has
+	started  bool  // there is such a list
+	watching bool
+	epoch    int                // counts the addresses
+	stop     context.CancelFunc // of the watch
 }
 
 func newDiscovery(addr string, log *slog.Logger, events chan<- any) *discovery {
-	return &discovery{base: "http://" + addr, log: log, events: events, client: &http.Client{Transport: &http.Transport{
+	return &discovery{addr: addr, log: log, events: events, client: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
 
-// watch reports changes until a call fails. Each call follows the last answer at
-// once, so that nothing is missed in between.
+// move ends the watch and turns to another address. The list there is asked for
+// whole, since its generations need not follow on from those of the old one.
+func (d *discovery) move(addr string) {
+	if d.stop != nil {
+		d.stop()
+	}
+	d.client.CloseIdleConnections()
+	d.addr, d.started, d.watching = addr, false, false
+	d.epoch++
+}
+
+// takes notes what a watch has brought, and says whether it is news: a watch at an
+// address left behind has nothing to tell.
+func (d *discovery) takes(ev listEvent) bool {
+	if ev.epoch != d.epoch {
+		return false
+	}
+	if ev.err != nil {
+		d.watching = false
+	} else {
+		d.gen, d.started = ev.list.Generation, true
+	}
+	return true
+}
+
+// watch begins to follow the list, unless it does so already.
 func (d *discovery) watch(ctx context.Context) {
+	if d.watching {
+		return
+	}
+	d.watching = true
+	ctx, stop := context.WithCancel(ctx)
+	d.stop = stop
+	w := watch{d: d, base: "http://" + d.addr + "/discovery/hosts", epoch: d.epoch, gen: d.gen, started: d.started}
+	if d.epoch > 0 && !d.started {
+		w.spare = moveTries
+	}
+	go func() {
+		defer stop()
+		w.run(ctx)
+	}()
+}
+
+// watch is a row of calls, each after the last answer at once, so that nothing is
+// missed in between.
+type watch struct {
+	d       *discovery
+	base    string
+	epoch   int
+	gen     int64
+	started bool
+	spare   int // calls that may fail before the watch does
+}
+
+func (w *watch) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		url, limit := d.base+"/discovery/hosts", listTime
-		if d.started {
-			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, watchHold.Milliseconds())
+		url, limit := w.base, listTime
+		if w.started {
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, watchHold.Milliseconds())
 			limit = watchHold + watchSlack
 		}
 		at := time.Now()
-		list, err := d.get(ctx, url, limit)
+		list, err := w.d.get(ctx, url, limit)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			d.log.Warn("discovery", "err", err)
-			d.events <- listEvent{err: err}
+			w.d.log.Warn("discovery", "err", err)
+			if w.spare--; w.spare >= 0 {
+				time.Sleep(movePause)
+				continue
+			}
+			w.d.events <- listEvent{err: err, epoch: w.epoch}
 			return
 		}
-		d.gen, d.started = list.Generation, true
-		d.events <- listEvent{list: list}
+		w.gen, w.started, w.spare = list.Generation, true, 0
+		w.d.events <- listEvent{list: list, epoch: w.epoch}
 		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
 			time.Sleep(emptyPause)
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -59,17 +60,18 @@
 	clients *clients
 	events  chan any
 	ready   chan net.Addr // gets the address once clients are served
+	reload  <-chan os.Signal
+	load    func() (*Config, error)
 
 	// What follows belongs to the loop.
-	start    time.Time
-	held     map[string]*held
-	open     int                  // of held, those not over
-	recent   map[string]time.Time // ids that were taken on and are over, until their time is up
-	next     []logic.Event        // for the next step
-	watching bool
-	closing  bool
-	puts     []putEvent
-	records  []record
+	start   time.Time
+	held    map[string]*held
+	open    int                  // of held, those not over
+	recent  map[string]time.Time // ids that were taken on and are over, until their time is up
+	next    []logic.Event        // for the next step
+	closing bool
+	puts    []putEvent
+	records []record
 }
 
 // New makes a sender and replays its journal.
@@ -114,6 +116,7 @@
 	}
 	go n.notices.run(work)
 	go n.clients.serve(ln)
+	go n.reloads(work)
 	n.log.Info("ready", "name", n.cfg.Name, "addr", ln.Addr().String(), "held", len(n.held))
 	n.ready <- ln.Addr()
 	served := make(chan struct{}) // closed when no client is left
@@ -154,7 +157,7 @@
 		}
 		select {
 		case ev := <-n.events:
-			n.take(ev)
+			n.take(work, ev)
 		case <-sweep.C:
 			n.caller.sweep()
 			n.forget()
@@ -170,7 +173,7 @@
 		for more := true; more; {
 			select {
 			case ev := <-n.events:
-				n.take(ev)
+				n.take(work, ev)
 			default:
 				more = false
 			}
@@ -220,7 +223,7 @@
 }
 
 // take turns what has come into events for the next step.
-func (n *Node) take(ev any) {
+func (n *Node) take(work context.Context, ev any) {
 	switch ev := ev.(type) {
 	case putEvent:
 		n.put(ev)
@@ -240,6 +243,8 @@
 			n.log.Error("journal", "err", err)
 		}
 		n.records = nil
+	case reloadEvent:
+		n.moveTo(work, ev.cfg)
 	case closingEvent:
 		n.closing = true
 		n.next = append(n.next, logic.Closing{Left: micros(ev.left)})
@@ -287,8 +292,10 @@
 }
 
 func (n *Node) list(ev listEvent) {
+	if !n.disc.takes(ev) {
+		return
+	}
 	if ev.err != nil {
-		n.watching = false
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListFailed})
 		return
 	}
@@ -473,10 +480,7 @@
 	case logic.Release:
 		n.caller.release(a.Endpoint)
 	case logic.Listen:
-		if !n.watching {
-			n.watching = true
-			go n.disc.watch(work)
-		}
+		n.disc.watch(work)
 	case logic.Log:
 		n.log.Info(a.Text)
 	}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -25,17 +25,18 @@
 
 // notices tells the platform how messages ended, until it has heard.
 type notices struct {
-	url    string
 	client *http.Client
 	log    *slog.Logger
 	events chan<- any
 	wake   chan struct{}
 	mu     sync.Mutex
 	queue  []Notice
+	url    string
+	stop   context.CancelFunc // of the post that is out
 }
 
 func newNotices(addr string, log *slog.Logger, events chan<- any) *notices {
-	return &notices{url: "http://" + addr + "/v1/outcomes", log: log, events: events, wake: make(chan struct{}, 1),
+	return &notices{url: noticeURL(addr), log: log, events: events, wake: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: noticeTime}).DialContext,
 			MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, IdleConnTimeout: 5 * time.Second}}}
@@ -52,6 +53,25 @@
 	}
 }
 
+// move turns to another address. What the old one has not confirmed goes to the new one at once.
+func (n *notices) move(addr string) {
+	n.mu.Lock()
+	n.url = noticeURL(addr)
+	if n.stop != nil {
+		n.stop()
+	}
+	n.mu.Unlock()
+	n.client.CloseIdleConnections()
+}
+
+func noticeURL(addr string) string { return "http://" + addr + "/v1/outcomes" }
+
+func (n *notices) address() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.url
+}
+
 // run sends what waits, as one batch at a time.
 func (n *notices) run(ctx context.Context) {
 	for {
@@ -65,6 +85,7 @@
 			continue
 		}
 		for pause := noticeFirst; ; pause = min(2*pause, noticeMost) {
+			url := n.address()
 			status, err := n.post(ctx, batch)
 			if err == nil && status == http.StatusNoContent {
 				n.heard(batch)
@@ -73,6 +94,10 @@
 			if ctx.Err() != nil {
 				return
 			}
+			if n.address() != url {
+				pause = noticeFirst / 2
+				continue
+			}
 			n.log.Warn("notice", "lines", len(batch), "status", status, "err", err)
 			if status == http.StatusBadRequest {
 				// It will never be read as it is: one line that is at fault must not hold up the others.
@@ -133,7 +158,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, noticeTime)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.url, &b)
+	n.mu.Lock()
+	url := n.url
+	n.stop = cancel
+	n.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, &b)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -37,7 +37,9 @@
 	t    *testing.T
 	cmd  *exec.Cmd
 	addr string
+	conf string // its configuration file
 	done chan error
+	said chan string // its log
 }
 
 // startProcess starts it with what the platform would tell it and waits until it is ready.
@@ -61,11 +63,12 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	x := &process{t: t, cmd: cmd, done: make(chan error, 1)}
+	x := &process{t: t, cmd: cmd, conf: config, done: make(chan error, 1), said: make(chan string, 4096)}
 	t.Cleanup(func() { cmd.Process.Kill() })
 	addr := make(chan string, 1)
 	go func() {
 		for s := bufio.NewScanner(logs); s.Scan(); {
+			x.said <- s.Text()
 			if _, rest, ok := strings.Cut(s.Text(), "msg=ready "); ok {
 				_, rest, _ = strings.Cut(rest, "addr=")
 				a, _, _ := strings.Cut(rest, " ")
