Bound what clients and endpoints can hold, and read answers strictly

A spoilt answer is an outcome of its own in the module: four in a row look like an outage, one does not. Endpoints, destinations and keys off the books are forgotten.

--- /dev/null
+++ b/internal/node/answer.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"ravenmount/logic"
+)
+
+const (
+	maxAnswer = 64 << 10              // head and body of an answer, with interim ones ahead
+	headTime  = time.Second           // for the rest of an answer that matters, once it has begun
+	tailTime  = 50 * time.Millisecond // for what does not; a connection that is slower is not used again
+)
+
+// errSpoilt says that an answer can't be read.
+var errSpoilt = errors.New("spoilt answer")
+
+// readAnswer reads the answer to a call that was written, and says whether the
+// connection can carry another. net/http's reader would not do: the first line
+// counts even where the rest of the head can't be read, and lengths that leave a
+// doubt are no lengths.
+func readAnswer(r *bufio.Reader, limit *cutoff) (result, bool) {
+	for {
+		limit.wait(0)
+		if _, err := r.Peek(1); err != nil {
+			if !isTimeout(err) {
+				return limit.broken(err), false
+			}
+			given := limit.outcome()
+			limit.giveUp()
+			if _, err := r.Peek(1); err != nil {
+				return result{outcome: given}, false
+			}
+		}
+		limit.wait(headTime)
+		status, err := readStatus(r)
+		if status == http.StatusOK { // true whatever follows
+			limit.wait(tailTime)
+			_, keep, tail := readRest(r, status)
+			return result{outcome: logic.Completed}, err == nil && tail == nil && keep
+		}
+		if err != nil {
+			return limit.broken(err), false
+		}
+		if status/100 == 1 && status != http.StatusSwitchingProtocols {
+			if _, err := readHeader(r); err != nil {
+				return limit.broken(err), false
+			}
+			continue // an interim answer; the outcome is yet to come
+		}
+		header, keep, err := readRest(r, status)
+		if err != nil && status != http.StatusInternalServerError {
+			return limit.broken(err), false
+		}
+		return outcomeOf(status, header), keep && err == nil
+	}
+}
+
+// broken is the outcome of an answer that did not come whole.
+func (l *cutoff) broken(err error) result {
+	switch {
+	case l.over():
+		return result{outcome: l.outcome()}
+	case errors.Is(err, errSpoilt), isTimeout(err):
+		return result{outcome: logic.Spoilt}
+	}
+	return result{outcome: logic.Severed}
+}
+
+// readStatus reads the first line of an answer. The status is there as soon as it
+// can be read, also if the line does not end.
+func readStatus(r *bufio.Reader) (int, error) {
+	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		err = errSpoilt
+	}
+	text := string(line)
+	if len(text) < 13 || !strings.HasPrefix(text, "HTTP/1.") || !digits(text[7:8]) || text[8] != ' ' ||
+		!digits(text[9:12]) || !strings.ContainsAny(text[12:13], " \r\n") {
+		if err == nil {
+			err = fmt.Errorf("%w: first line %.40q", errSpoilt, text)
+		}
+		return 0, err
+	}
+	status, _ := strconv.Atoi(text[9:12])
+	return status, err
+}
+
+func digits(s string) bool {
+	return s != "" && strings.Trim(s, "0123456789") == ""
+}
+
+func readHeader(r *bufio.Reader) (http.Header, error) {
+	header, err := textproto.NewReader(r).ReadMIMEHeader()
+	return http.Header(header), spoilt(err)
+}
+
+// spoilt marks an error as one of what was read, unless it comes from the connection itself.
+func spoilt(err error) error {
+	var n net.Error
+	if err == nil || errors.As(err, &n) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errSpoilt, err)
+}
+
+// readRest reads head and body, and says whether the connection can be used again.
+func readRest(r *bufio.Reader, status int) (http.Header, bool, error) {
+	header, err := readHeader(r)
+	if err != nil {
+		return header, false, err
+	}
+	lengths, codings := header.Values("Content-Length"), header.Values("Transfer-Encoding")
+	keep := !strings.EqualFold(header.Get("Connection"), "close")
+	switch {
+	case len(lengths)+len(codings) > 1:
+		return header, false, fmt.Errorf("%w: more than one length", errSpoilt)
+	case status == http.StatusNoContent || status == http.StatusNotModified:
+	case len(lengths) == 1:
+		n, err := strconv.ParseInt(lengths[0], 10, 64)
+		if err != nil || !digits(lengths[0]) || n > maxAnswer {
+			return header, false, fmt.Errorf("%w: length %.40q", errSpoilt, lengths[0])
+		}
+		if _, err := io.CopyN(io.Discard, r, n); err != nil {
+			return header, false, err
+		}
+	case len(codings) == 1:
+		if !strings.EqualFold(codings[0], "chunked") {
+			return header, false, fmt.Errorf("%w: coding %.40q", errSpoilt, codings[0])
+		}
+		if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(r)); err != nil {
+			return header, false, spoilt(err)
+		}
+		if _, err := readHeader(r); err != nil { // trailers
+			return header, false, err
+		}
+	default: // the body ends with the connection
+		keep = false
+		if _, err := io.Copy(io.Discard, r); err != nil {
+			return header, false, err
+		}
+	}
+	return header, keep && r.Buffered() == 0, nil
+}
+
+// outcomeOf reads an answer that came whole.
+func outcomeOf(status int, header http.Header) result {
+	switch status {
+	case http.StatusTooManyRequests:
+		ms, err := strconv.ParseInt(header.Get("X-Come-Back-Ms"), 10, 64)
+		if err != nil || ms < 0 {
+			ms = 0
+		}
+		return result{outcome: logic.Full, wait: time.Duration(min(ms, maxHold.Milliseconds())) * time.Millisecond}
+	case http.StatusServiceUnavailable:
+		if header.Get("X-Line-Busy") == "1" {
+			return result{outcome: logic.Moot}
+		}
+		return result{outcome: logic.Full}
+	case http.StatusGatewayTimeout:
+		return result{outcome: logic.Moot}
+	case http.StatusGone:
+		return result{outcome: logic.Moot, over: true}
+	}
+	return result{outcome: logic.Errored}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -9,20 +9,20 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"ravenmount/logic"
 )
 
 const (
-	maxAnswer  = 64 << 10               // head and body of an answer
-	headTime   = time.Second            // for the rest of an answer's head, once it has begun
-	bodyTime   = 20 * time.Millisecond  // for its body; a connection that is slower is not used again
 	lingerTime = 50 * time.Millisecond  // for the endpoint to see that a call is given up
 	idleMargin = 500 * time.Millisecond // a connection is not used this close to the end of its idle time
+	settleTime = 20 * time.Millisecond  // after an answer, for what comes behind it to show
 	probeTime  = 1500 * time.Millisecond
 )
 
@@ -50,6 +50,7 @@
 	outcome logic.Outcome
 	wait    time.Duration // told by a refusal
 	over    bool          // the endpoint says that the message is over
+	local   bool          // nothing was sent for want of something at this end
 }
 
 // idleConn is a connection with no call on it.
@@ -61,23 +62,28 @@
 	since time.Time
 }
 
+// errNoRoom says that this process has no descriptor to spare for a call.
+var errNoRoom = errors.New("no room for another connection")
+
 // caller makes calls over connections that it keeps. It never sends anything
 // twice, and it knows whether the last byte was written: that tells what never
 // ran from what may have run. net/http's transport does neither.
 type caller struct {
 	dialer      net.Dialer
 	linger      time.Duration
+	settle      time.Duration
 	idleTime    time.Duration
 	perEndpoint int
-	most        int // idle connections in all
+	most        shares
 	mu          sync.Mutex
 	idle        map[logic.EndpointID][]*idleConn
-	count       int
+	count       int // idle connections
+	open        int // connections, those that are being made too
 }
 
-func newCaller(connectTime, idleTime time.Duration, perEndpoint, most int) *caller {
-	return &caller{dialer: net.Dialer{Timeout: connectTime}, linger: lingerTime, idleTime: idleTime, perEndpoint: max(perEndpoint, 1), most: max(most, 1),
-		idle: map[logic.EndpointID][]*idleConn{}}
+func newCaller(connectTime, idleTime time.Duration, perEndpoint int, most shares) *caller {
+	return &caller{dialer: net.Dialer{Timeout: connectTime}, linger: lingerTime, settle: settleTime, idleTime: idleTime,
+		perEndpoint: max(perEndpoint, 1), most: most, idle: map[logic.EndpointID][]*idleConn{}}
 }
 
 // do makes a call. When ctx is cancelled the call is called off.
@@ -89,71 +95,110 @@
 	}
 	if !in.state.CompareAndSwap(callConnecting, callWritten) {
 		if err == nil && !c.put(in.ep, conn) {
-			conn.Close()
+			c.drop(conn)
 		}
 		return result{outcome: logic.Moot}
 	}
 	if err != nil {
-		return result{outcome: logic.RefusedConn}
-	}
-	keep := false
-	defer func() {
-		if !keep || !c.put(in.ep, conn) {
-			conn.Close()
-		}
-	}()
-	conn.SetDeadline(deadline)
-	woken := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		conn.SetDeadline(time.Unix(1, 0))
-		close(woken)
-	})
-	quiet := func() { // from here on no cancel touches the connection
-		if !stop() {
-			<-woken
+		if ownFault(err) {
+			return result{outcome: logic.Moot, local: true}
 		}
+		return result{outcome: logic.RefusedConn}
 	}
 	var b bytes.Buffer
 	if err := in.request.Write(&b); err != nil {
-		quiet()
+		c.drop(conn)
 		return result{outcome: logic.RefusedConn}
 	}
+	limit := &cutoff{conn: conn, by: deadline, linger: c.linger}
+	stop := context.AfterFunc(ctx, limit.cancel)
+	limit.wait(0)
 	if _, err := conn.Write(b.Bytes()); err != nil {
-		quiet()
+		stop()
+		c.drop(conn)
 		return result{outcome: logic.RefusedConn} // its last byte was not written
 	}
 	conn.limit.N = maxAnswer
-	_, err = conn.r.Peek(1)
-	quiet()
-	given := logic.Severed
-	if isTimeout(err) {
-		// Given up. The endpoint is told by the end of our sending, and given a moment to see it: a next call
-		// must not meet this one. An answer that is on its way counts.
-		given = logic.Overdue
-		if ctx.Err() != nil {
-			given = logic.Recalled
-		}
-		if t, ok := conn.Conn.(*net.TCPConn); ok {
-			t.CloseWrite()
-		}
-		conn.SetDeadline(time.Now().Add(c.linger))
-		_, err = conn.r.Peek(1)
+	r, keep := readAnswer(conn.r, limit)
+	if conn.limit.N <= 0 && r.outcome != logic.Completed {
+		r = result{outcome: logic.Spoilt} // it goes on for ever, say
 	}
-	if err != nil {
-		return result{outcome: given}
+	if !stop() || !keep || limit.over() || !c.put(in.ep, conn) {
+		c.drop(conn)
 	}
-	conn.SetDeadline(time.Now().Add(headTime))
-	resp, err := http.ReadResponse(conn.r, in.request)
-	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
-		resp, err = http.ReadResponse(conn.r, in.request) // an interim answer; the outcome is yet to come
+	return r
+}
+
+// cutoff bounds the time of a call. The call's own deadline and a cancel hold until
+// it has ended, whatever has come of an answer by then.
+type cutoff struct {
+	conn   net.Conn
+	by     time.Time
+	linger time.Duration
+	mu     sync.Mutex
+	off    bool // cancelled
+	given  bool // given up: no more than the linger time is left
+}
+
+func (l *cutoff) cancel() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.off = true; !l.given {
+		l.conn.SetDeadline(time.Unix(1, 0))
 	}
-	if err != nil {
-		return result{outcome: given}
+}
+
+// wait gives what comes next so much time at most, or if 0 all that the call has.
+func (l *cutoff) wait(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch at := time.Now().Add(d); {
+	case l.given:
+	case l.off:
+		l.conn.SetDeadline(time.Unix(1, 0))
+	case d == 0 || at.After(l.by.Add(l.linger)):
+		if d > 0 {
+			l.conn.SetDeadline(l.by.Add(l.linger))
+			return
+		}
+		l.conn.SetDeadline(l.by)
+	default:
+		l.conn.SetDeadline(at)
+	}
+}
+
+// giveUp tells the endpoint that the call is given up, by the end of our sending, and
+// leaves it a moment to see that: a next call must not meet this one. An answer that is
+// on its way counts.
+func (l *cutoff) giveUp() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.given = true
+	var conn net.Conn = l.conn
+	if c, ok := conn.(*idleConn); ok {
+		conn = c.Conn
 	}
-	if given == logic.Severed {
-		keep = c.finish(conn, resp)
+	if t, ok := conn.(*net.TCPConn); ok {
+		t.CloseWrite()
 	}
-	return outcomeOf(resp)
+	l.conn.SetDeadline(time.Now().Add(l.linger))
+}
+
+// outcome is that of a call without an answer in time.
+func (l *cutoff) outcome() logic.Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.off {
+		return logic.Recalled
+	}
+	return logic.Overdue
+}
+
+// over says whether the connection may be of no more use: it is given up, or a cancel may touch it yet.
+func (l *cutoff) over() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.given || l.off
 }
 
 // connect takes a kept connection or makes one.
@@ -161,67 +206,104 @@
 	if conn := c.take(in.ep, in.addr); conn != nil {
 		return conn, nil
 	}
+	if !c.reserve() {
+		return nil, errNoRoom
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	conn, err := c.dialer.DialContext(ctx, "tcp", in.addr)
 	if err != nil {
+		c.unreserve()
 		return nil, err
 	}
 	limit := &io.LimitedReader{R: conn}
 	return &idleConn{Conn: conn, r: bufio.NewReader(limit), limit: limit, addr: in.addr}, nil
 }
 
-// finish reads the rest of an answer and says whether the connection can be used again.
-func (c *caller) finish(conn *idleConn, resp *http.Response) bool {
-	if resp.Close || resp.StatusCode == http.StatusSwitchingProtocols {
+// ownFault says whether a connection failed for want of something at this end, which tells nothing of the endpoint.
+func ownFault(err error) bool {
+	for _, own := range []error{errNoRoom, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, own) {
+			return true
+		}
+	}
+	return false
+}
+
+// reserve takes a place for a connection; an idle one makes room for it.
+func (c *caller) reserve() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open >= c.most.calls && !c.closeOldest() {
 		return false
 	}
-	conn.SetDeadline(time.Now().Add(bodyTime))
-	_, err := io.Copy(io.Discard, resp.Body)
-	return err == nil && conn.r.Buffered() == 0
+	c.open++
+	return true
 }
 
-// outcomeOf reads an answer.
-func outcomeOf(resp *http.Response) result {
-	switch resp.StatusCode {
-	case http.StatusOK:
-		return result{outcome: logic.Completed}
-	case http.StatusTooManyRequests:
-		ms, err := strconv.ParseInt(resp.Header.Get("X-Come-Back-Ms"), 10, 64)
-		if err != nil || ms < 0 {
-			ms = 0
-		}
-		return result{outcome: logic.Full, wait: time.Duration(min(ms, maxHold.Milliseconds())) * time.Millisecond}
-	case http.StatusServiceUnavailable:
-		if resp.Header.Get("X-Line-Busy") == "1" {
-			return result{outcome: logic.Moot}
+func (c *caller) unreserve() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+}
+
+// drop closes a connection that carries a call.
+func (c *caller) drop(conn *idleConn) {
+	conn.Close()
+	c.unreserve()
+}
+
+// The rest is about idle connections. What is named close… is called under the lock.
+
+func (c *caller) closeIdle(conn *idleConn) {
+	conn.Close()
+	c.count--
+	c.open--
+}
+
+func (c *caller) closeOldest() bool {
+	var from logic.EndpointID
+	var oldest *idleConn
+	for ep, list := range c.idle {
+		if oldest == nil || list[0].since.Before(oldest.since) {
+			from, oldest = ep, list[0]
 		}
-		return result{outcome: logic.Full}
-	case http.StatusGatewayTimeout:
-		return result{outcome: logic.Moot}
-	case http.StatusGone:
-		return result{outcome: logic.Moot, over: true}
 	}
-	return result{outcome: logic.Errored}
+	if oldest == nil {
+		return false
+	}
+	c.keep(from, c.idle[from][1:])
+	c.closeIdle(oldest)
+	return true
 }
 
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
+// keep sets the idle connections to ep, in the order in which they became idle.
+func (c *caller) keep(ep logic.EndpointID, list []*idleConn) {
+	if len(list) == 0 {
+		delete(c.idle, ep)
+	} else {
+		c.idle[ep] = list
+	}
 }
 
-// take returns the kept connection to ep that was used last, if it is still good.
+// take returns the kept connection to ep that was used last, if it is still good. One
+// whose last answer came just now is left: more may be on its way behind that.
 func (c *caller) take(ep logic.EndpointID, addr string) *idleConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for list := c.idle[ep]; len(list) > 0; list = c.idle[ep] {
-		conn := list[len(list)-1]
-		c.idle[ep] = list[:len(list)-1]
-		c.count--
+	list := slices.Clone(c.idle[ep])
+	defer func() { c.keep(ep, list) }()
+	for i := len(list) - 1; i >= 0; i-- {
+		conn := list[i]
+		if time.Since(conn.since) < c.settle {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		if conn.addr == addr && c.good(conn) {
+			c.count--
 			return conn
 		}
-		conn.Close()
+		c.closeIdle(conn)
 	}
 	return nil
 }
@@ -240,7 +322,7 @@
 func (c *caller) put(ep logic.EndpointID, conn *idleConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[ep]) >= c.perEndpoint || c.count >= c.most {
+	if len(c.idle[ep]) >= c.perEndpoint || c.count >= c.most.idle {
 		return false
 	}
 	conn.since = time.Now()
@@ -255,8 +337,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.idle[ep] {
-		conn.Close()
-		c.count--
+		c.closeIdle(conn)
 	}
 	delete(c.idle, ep)
 }
@@ -266,18 +347,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for ep, list := range c.idle {
-		kept := list[:0]
+		var kept []*idleConn
 		for _, conn := range list {
 			if c.good(conn) {
 				kept = append(kept, conn)
 			} else {
-				conn.Close()
-				c.count--
+				c.closeIdle(conn)
 			}
 		}
-		if c.idle[ep] = kept; len(kept) == 0 {
-			delete(c.idle, ep)
-		}
+		c.keep(ep, kept)
 	}
 }
 
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -23,7 +23,9 @@
 	return &call{id: m.ID, ep: 1, addr: addr, giveUp: giveUp, request: req, state: new(atomic.Int32)}
 }
 
-func testCaller() *caller { return newCaller(time.Second, 10*time.Second, 4, 16) }
+func testCaller() *caller {
+	return newCaller(time.Second, 10*time.Second, 4, shares{calls: 16, idle: 16})
+}
 
 // goDo makes a call in the background.
 func goDo(ctx context.Context, c *caller, in *call) <-chan result {
@@ -35,6 +37,7 @@
 // An answer that is read as the wrong outcome resends what may have run, or gives up what never ran.
 func TestAnswers(t *testing.T) {
 	e, c := newEndpoint(t), testCaller()
+	c.settle = 0
 	for _, x := range []struct {
 		status  int
 		headers []string
@@ -129,7 +132,8 @@
 // A connection that the endpoint has closed, or that is about to be closed for its age, would turn the next call
 // into a reset, which an unsafe message does not survive.
 func TestStaleConnection(t *testing.T) {
-	e, c := newEndpoint(t), newCaller(time.Second, time.Hour, 4, 16)
+	e, c := newEndpoint(t), newCaller(time.Second, time.Hour, 4, shares{calls: 16, idle: 16})
+	c.settle = 0
 	call := func(end func(*inCall)) {
 		t.Helper()
 		got := goDo(t.Context(), c, newCall(t, e.addr(), "hello", patience))
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -20,6 +20,7 @@
 	listTime   = 6 * time.Second        // for the whole list
 	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
 	maxList    = 4 << 20
+	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
 	moveTries  = 4                      // calls to a new address that may fail before the module is told
 	movePause  = 200 * time.Millisecond // after each
 )
@@ -55,29 +56,74 @@
 	kinds []logic.Kind
 	ids   map[string]logic.EndpointID
 	eps   map[logic.EndpointID]target
+	dests map[int64]int // how many of eps a destination has
+	last  logic.EndpointID
 }
 
 // target is where an endpoint can be reached.
 type target struct {
+	name string // on the list
 	addr string
 	zone int
 	dest int64
 	kind int
+	gone time.Time // when it was taken off the list; zero while it is on it
 }
 
 func newDirectory(cfg *Config) *directory {
 	return &directory{zones: cfg.Deploy.Zones, kinds: cfg.Deploy.Settings.Kinds,
-		ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]target{}}
+		ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]target{}, dests: map[int64]int{}}
 }
 
-// take turns a list into the module's entries. An endpoint keeps its number for
-// the life of the process, whatever its address.
+// serves says whether a destination has an endpoint, or had one a short while ago.
+func (d *directory) serves(dest int64) bool { return d.dests[dest] > 0 }
+
+// forget drops endpoints that have long been off the list, but for those in use.
+func (d *directory) forget(now time.Time, inUse map[logic.EndpointID]bool) {
+	for id, to := range d.eps {
+		if !to.gone.IsZero() && now.Sub(to.gone) > keepGone && !inUse[id] {
+			d.drop(id)
+		}
+	}
+}
+
+func (d *directory) drop(id logic.EndpointID) {
+	to, ok := d.eps[id]
+	if !ok {
+		return
+	}
+	delete(d.eps, id)
+	delete(d.ids, to.name)
+	if d.dests[to.dest]--; d.dests[to.dest] == 0 {
+		delete(d.dests, to.dest)
+	}
+}
+
+// take turns a list into the module's entries. An endpoint keeps its number as long
+// as it is on the list, whatever its address, and for a while after.
 func (d *directory) take(l List) []logic.Entry {
 	rows := make([]logic.Entry, 0, len(l.Instances))
+	now := time.Now()
+	if l.Reset {
+		on := map[string]bool{}
+		for _, in := range l.Instances {
+			on[in.ID] = true
+		}
+		for id, to := range d.eps {
+			if !on[to.name] && to.gone.IsZero() {
+				to.gone = now
+				d.eps[id] = to
+			}
+		}
+	}
 	for _, in := range l.Instances {
 		id, ok := d.ids[in.ID]
+		if !ok && in.Lifecycle == "removed" {
+			continue // it was never on our list, or is forgotten
+		}
 		if !ok {
-			id = logic.EndpointID(len(d.ids) + 1)
+			d.last++
+			id = d.last
 			d.ids[in.ID] = id
 		}
 		row := logic.Entry{Endpoint: id, Zone: slices.Index(d.zones, in.Zone), Dest: in.Dest, Nominal: in.Weight,
@@ -90,9 +136,19 @@
 		default: // a state that is not known is no invitation to send
 			row.State = logic.Draining
 		}
-		if in.HostPort != "" {
-			d.eps[id] = target{in.HostPort, row.Zone, row.Dest, row.Kind}
+		to, listed := d.eps[id]
+		if listed {
+			d.dests[to.dest]--
+		}
+		if in.HostPort != "" || !listed {
+			to = target{name: in.ID, addr: in.HostPort, zone: row.Zone, dest: row.Dest, kind: row.Kind, gone: to.gone}
+		}
+		if d.dests[to.dest]++; row.State != logic.Gone {
+			to.gone = time.Time{}
+		} else if to.gone.IsZero() {
+			to.gone = now
 		}
+		d.eps[id] = to
 		rows = append(rows, row)
 	}
 	return rows
@@ -108,6 +164,7 @@
 	gen      int64 // of the list that the loop has
 	started  bool  // there is such a list
 	watching bool
+	heard    bool               // from discovery itself, in the life of this process
 	epoch    int                // counts the addresses
 	stop     context.CancelFunc // of the watch
 }
@@ -138,7 +195,7 @@
 	if ev.err != nil {
 		d.watching = false
 	} else {
-		d.gen, d.started = ev.list.Generation, true
+		d.gen, d.started, d.heard = ev.list.Generation, true, true
 	}
 	return true
 }
--- /dev/null
+++ b/internal/node/limits.go
@@ -0,0 +1,33 @@
+package node
+
+// The process's descriptors are shared out at the start, so that no side can take
+// those that another needs.
+
+const (
+	otherSockets   = 20 // standard streams, listener, poller, journal, discovery, notices
+	defaultSockets = 1024
+	lingering      = 8 // calls that are given up and not closed yet, and probes
+)
+
+// shares says how many connections each side may hold.
+type shares struct {
+	clients int
+	calls   int // to endpoints, idle ones counted
+	idle    int // to endpoints, without a call
+}
+
+// shareOut gives calls what the slots can use, and some to keep, and the rest to clients;
+// clients need a third for requests, and as much again as room for those that say nothing.
+func shareOut(cfg *Config) shares {
+	sockets := cfg.Limits.Sockets
+	if sockets <= 0 {
+		sockets = defaultSockets
+	}
+	rest := max(sockets-otherSockets, 16)
+	clients := rest / 2
+	if need := cfg.Deploy.Settings.Slots + lingering; rest-clients < need {
+		clients = max(rest-need, rest*2/5)
+	}
+	calls := rest - clients
+	return shares{clients: clients, calls: calls, idle: max(calls*2/3, 1)}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -64,6 +64,8 @@
 	load    func() (*Config, error)
 
 	// What follows belongs to the loop.
+	due     *time.Timer // the module's
+	token   uint64
 	start   time.Time
 	held    map[string]*held
 	open    int                  // of held, those not over
@@ -85,13 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
-	sockets := cfg.Limits.Sockets
-	if sockets <= 0 {
-		sockets = 1024
-	}
 	n := &Node{cfg: cfg, log: log, journal: journal, sender: sender, dir: newDirectory(cfg),
-		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
-		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
+		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg)),
+		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.disc = newDiscovery(cfg.Discovery, log, n.events)
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
@@ -147,8 +145,9 @@
 	tick := max(span(n.cfg.Deploy.Settings.Tick), time.Millisecond)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
-	pause := time.NewTimer(0)
-	defer pause.Stop()
+	rest := time.NewTimer(0)
+	defer rest.Stop()
+	defer n.due.Stop()
 	quiet := false // shutting down, and no client is left
 	for {
 		if quiet && n.open == 0 && len(n.journal.entries) == 0 {
@@ -158,8 +157,11 @@
 		select {
 		case ev := <-n.events:
 			n.take(work, ev)
+		case <-n.due.C:
+			n.next = append(n.next, logic.Due{Token: n.token})
 		case <-sweep.C:
 			n.caller.sweep()
+			n.dir.forget(time.Now(), n.calls())
 			n.forget()
 			continue
 		case <-served:
@@ -182,8 +184,8 @@
 		for len(n.next) > 0 {
 			n.step(work)
 		}
-		pause.Reset(tick)
-		<-pause.C
+		rest.Reset(tick)
+		<-rest.C
 	}
 }
 
@@ -233,8 +235,6 @@
 		n.next = append(n.next, logic.HealthResult{Endpoint: ev.ep, Outcome: ev.outcome})
 	case listEvent:
 		n.list(ev)
-	case logic.Due:
-		n.next = append(n.next, ev)
 	case noticedEvent:
 		for _, id := range ev.ids {
 			n.records = append(n.records, record{Op: opNoticed, ID: id})
@@ -262,6 +262,14 @@
 		ev.answer <- answerOK
 		return
 	}
+	if !n.dir.serves(ev.msg.Dest) {
+		if n.disc.heard {
+			ev.answer <- answerUnknown
+		} else { // nobody has told yet what there is
+			ev.answer <- busy(logic.Second)
+		}
+		return
+	}
 	most := n.cfg.Deploy.Settings.MaxOpen
 	if most > 0 && n.open >= most || !n.journal.Room(len(ev.msg.Body)) {
 		ev.answer <- busy(0)
@@ -308,9 +316,35 @@
 		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
 		return i >= 0 && rows[i].State != logic.Ready || i < 0 && ev.list.Reset
 	})
+	for _, row := range rows {
+		if row.State != logic.Ready {
+			n.caller.release(row.Endpoint)
+		}
+	}
 	n.next = append(n.next, logic.Endpoints{Form: form, Entries: rows})
 }
 
+// calls lists the endpoints that calls are out to.
+func (n *Node) calls() map[logic.EndpointID]bool {
+	out := map[logic.EndpointID]bool{}
+	for _, h := range n.held {
+		if h.call != nil {
+			out[h.call.ep] = true
+		}
+	}
+	return out
+}
+
+// pause waits for d or until ctx is over.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (n *Node) reply(ev replyEvent) {
 	h := n.held[ev.call.id]
 	if h == nil {
@@ -473,8 +507,8 @@
 			n.notices.add(x)
 		}
 	case logic.SetTimer:
-		ev := logic.Due{Token: a.Token}
-		time.AfterFunc(span(a.Wait), func() { n.events <- ev })
+		n.due.Reset(span(a.Wait)) // it goes off no later than the one before
+		n.token = a.Token
 	case logic.Probe:
 		n.probe(work, a.Endpoint)
 	case logic.Release:
@@ -516,7 +550,11 @@
 	go func() {
 		at := time.Now()
 		r := n.caller.do(ctx, in)
-		n.events <- replyEvent{in, r, time.Since(at)}
+		took := time.Since(at)
+		if r.local {
+			pause(ctx, retryPause) // descriptors, say: room may come
+		}
+		n.events <- replyEvent{in, r, took}
 	}()
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -96,6 +96,7 @@
 		t.Fatal(err)
 	}
 	defer n.journal.Close()
+	n.dir.take(List{Reset: true, Instances: []Instance{{ID: "s", HostPort: "127.0.0.1:1", Dest: 1, Lifecycle: "up"}}})
 	answer := make(chan string, 1)
 	put := putEvent{Message{ID: "a", Class: "safe", Dest: 1, Body: make([]byte, 100)}, answer}
 	n.open = cfg.Deploy.Settings.MaxOpen
@@ -335,9 +336,12 @@
 
 // Whatever a client sends, it gets an error line and nobody else is hurt.
 func TestMalformedRequests(t *testing.T) {
-	n, c, _, e := world(t, 1)
+	n, c, p, e := world(t, 1)
+	taken(t, p, 1) // an unknown destination is one that discovery does not know
+	p.set(func() { p.list.Generation = 2 })
+	taken(t, p, 2)
 	const good = "c=safe,t=acme,d=9000,dest=1"
-	for _, args := range [][]string{
+	for i, args := range [][]string{
 		{"NONSENSE"}, {""}, {"MSG.PUT"}, {"MSG.PUT", "0", "a", good}, {"MSG.PUT", "0", "", good, "x"},
 		{"MSG.PUT", "0", "a b", good, "x"}, {"MSG.PUT", "0", "a\r\nX: y", good, "x"},
 		{"MSG.PUT", "0", strings.Repeat("a", 1000), good, "x"}, {"MSG.PUT", "0", "a", "", "x"},
@@ -346,8 +350,13 @@
 		{"MSG.PUT", "0", "a", "c=safe,t=none,d=9000,dest=1", "x"}, {"MSG.PUT", "0", "a", "c=safe,d=-1,dest=1", "x"},
 		{"MSG.PUT", "0", "a", "c=safe,d=1e3,dest=1", "x"}, {"MSG.PUT", "0", "a", "c=safe,d=9223372036854775807,dest=1", "x"},
 		{"MSG.PUT", "0", "a", "c=safe,d=9000,dest=x", "x"}, {"MSG.PUT", "0", "a", "c=safe,d=9000,dest=-1", "x"},
-		{"MSG.PUT", "0", "a", good + ",k=a\nb", "x"},
+		{"MSG.PUT", "0", "a", good + ",k=a\nb", "x"}, {"MSG.PUT", "0\x00", "a", good, "x"},
+		{"MSG.PUT", "0", "a", "c=keyed,d=9000,dest=1", "x"}, {"MSG.PUT", "0", "a", good + ",d=9000", "x"},
+		{"MSG.PUT", "0", "a", "c=safe,d=9000000,dest=1", "x"}, {"MSG.PUT", "0", "a", "c=safe,d=9000,dest=77", "x"},
 	} {
+		if i%8 == 7 { // before there are too many errors on one connection
+			c = dial(t, n.addr)
+		}
 		if got := c.do(args...); !strings.HasPrefix(got, "-ERR ") {
 			t.Errorf("%q: got %q", args, got)
 		}
@@ -404,8 +413,7 @@
 	}
 	served := newClients(&Config{}, slog.New(slog.DiscardHandler), nil)
 	served.closing = true
-	conn.SetReadDeadline(time.Now())
-	served.handle(conn)
+	(&session{c: served, conn: conn, opened: time.Now()}).handle()
 	conn.Close()
 	if got := c.line(); got != "+PONG" {
 		t.Errorf("got %q", got)
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -157,7 +157,8 @@
 // meanwhile is returned, and a notice that nobody confirmed is sent again.
 func TestKillWithoutCallOut(t *testing.T) {
 	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known := List{Generation: 1, Reset: true, Instances: append(instances(e), Instance{ID: "drains", HostPort: "127.0.0.1:1",
+		Zone: "a", Kind: "std", Dest: 2, Lifecycle: "draining"})}
 	p.list, p.deaf = known, true
 	x := startProcess(t, p, dir, known)
 	c := dial(t, x.addr)
--- a/internal/node/resp.go
+++ b/internal/node/resp.go
@@ -19,8 +19,9 @@
 var errProtocol = errors.New("protocol error")
 
 // readCommand reads one request: an array of bulk strings. All lengths are
-// checked before memory is taken for them.
-func readCommand(r *bufio.Reader) ([][]byte, error) {
+// checked before memory is taken for them; large is asked once before a request
+// takes more than a small one's.
+func readCommand(r *bufio.Reader, large func() error) ([][]byte, error) {
 	n, err := readLength(r, '*', maxArgs)
 	if err != nil {
 		return nil, err
@@ -29,11 +30,21 @@
 		return nil, fmt.Errorf("%w: empty request", errProtocol)
 	}
 	args := make([][]byte, n)
+	sum, asked := 0, false
 	for i := range args {
 		size, err := readLength(r, '$', maxBulk)
 		if err != nil {
 			return nil, unexpected(err)
 		}
+		if sum += size; sum > largeRequest {
+			return nil, fmt.Errorf("%w: request over %d", errProtocol, largeRequest)
+		}
+		if sum > smallRequest && !asked {
+			asked = true
+			if err := large(); err != nil {
+				return nil, err
+			}
+		}
 		b := make([]byte, size+2)
 		if _, err := io.ReadFull(r, b); err != nil {
 			return nil, unexpected(err)
--- /dev/null
+++ b/logic/churn_test.go
@@ -0,0 +1,76 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A long life: endpoints, destinations and keys are ever new. What nothing refers to is forgotten, or the
+// process would grow for as long as it runs; what has a call out is not.
+func TestChurnIsForgotten(t *testing.T) {
+	set := Settings{Senders: 1, Slots: 4, MaxTries: 6, Tick: 5000, MayCancel: true,
+		Classes: []Class{{Name: "c", Aim: Second, Deadline: 10 * Second, Worth: 1, KeepOrder: true}}}
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := Micros(0)
+	for i := 1; i <= 2000; i++ {
+		id, dest := EndpointID(i), int64(i/10)
+		evs := []Event{Endpoints{Form: ListDelta, Entries: []Entry{{Endpoint: id, Dest: dest, State: Ready}}}}
+		if i > 1 {
+			evs = append(evs, Endpoints{Entries: []Entry{{Endpoint: id - 1, Dest: int64((i - 1) / 10), State: Gone}}})
+		}
+		name := fmt.Sprint(i)
+		evs = append(evs, Call{ID: name, Key: name, Left: 10 * Second, Dest: dest, Tenant: -1})
+		sent := false
+		for _, a := range s.Step(now, evs) {
+			if c, ok := a.(CallOut); ok && c.ID == name {
+				sent = true
+			}
+		}
+		if !sent {
+			t.Fatalf("message %d is not sent", i)
+		}
+		now += Second
+		s.Step(now, []Event{Reply{ID: name, NoMore: true, Endpoint: id, Outcome: Completed, Took: Second / 10}})
+		now += Second
+		if len(s.eps) > 60 || len(s.gone) > 60 || len(s.dests) > 20 || len(s.order) != len(s.dests) ||
+			len(s.keys) > 10 || len(s.msgs) > 0 {
+			t.Fatalf("after %d: %d endpoints, %d gone, %d destinations, %d keys, %d messages", i, len(s.eps),
+				len(s.gone), len(s.dests), len(s.keys), len(s.msgs))
+		}
+	}
+	s.Step(now, []Event{Call{ID: "out", Left: 1000 * Second, Dest: 200, Tenant: -1}})
+	s.Step(now, []Event{Endpoints{Entries: []Entry{{Endpoint: 2000, Dest: 200, State: Gone}}}})
+	s.Step(now+2*keepGone, nil)
+	if s.eps[2000] == nil {
+		t.Error("an endpoint with a call out is forgotten")
+	}
+	s.Step(now+2*keepGone, []Event{Reply{ID: "out", NoMore: true, Endpoint: 2000, Outcome: Completed}})
+	s.Step(now+3*keepGone, nil)
+	if s.eps[2000] != nil {
+		t.Error("an endpoint off the list without a call is kept")
+	}
+}
+
+// Spoilt answers come from any endpoint alike: a few are no outage, a row of them is.
+func TestSpoiltIsNoOutage(t *testing.T) {
+	set := Settings{Senders: 1, Slots: 4, MaxTries: 100, Tick: 5000, MayCancel: true,
+		Classes: []Class{{Name: "c", Aim: Second, Deadline: 10 * Second, Worth: 1}}}
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(0, []Event{Endpoints{Form: ListFull, Entries: []Entry{{Endpoint: 1, Dest: 1}}},
+		Call{ID: "a", Left: 10 * Second, Dest: 1, Tenant: -1}})
+	for i := range spoiltDown {
+		if s.eps[1].suspect {
+			t.Fatalf("out after %d spoilt answers", i)
+		}
+		s.Step(Micros(i+1)*100_000, []Event{Reply{ID: "a", Attempt: i, Endpoint: 1, Outcome: Spoilt}})
+	}
+	if !s.eps[1].suspect {
+		t.Errorf("not out after %d spoilt answers in a row", spoiltDown)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	longWait    = 2 * Second   // ours: a told wait past this is a shut destination, not a limit's window
 	trialGap    = 400_000      // ours: first pause between single trials
 	trialMost   = 2 * Second   // ours: and the longest
+	keepGone    = 60 * Second  // ours: an endpoint off the list is remembered so long: it may come back
 	idleAge     = 4 * halfLife // ours: state of a destination without traffic is dropped after this
 	slowTimes   = 3.0          // ours: an endpoint this much slower than its best sibling is passed over
 	slowProbe   = 4 * Second   // ours: but tried again after this
@@ -52,6 +53,7 @@
 	restPart    = 0.1          // ours: least mean part of its time left that a refused message rests
 	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
+	spoiltDown  = 4            // ours: spoilt answers in a row that look like an outage
 	errorRest   = 100_000      // ours: pause of a message after an error, doubled with each try
 
 	quotaHalf = 5 * Second // ours: half-life of a tenant's rate
@@ -90,6 +92,7 @@
 		s.take(ev)
 	}
 	s.subscribe()
+	s.forget()
 	s.endHopeless()
 	s.cutLong()
 	s.dispatch()
@@ -728,6 +731,10 @@
 		} else if a.stuck && e.lastOK < a.at {
 			s.failed(e, "silent")
 		}
+	case Spoilt: // from any endpoint alike, so it tells nothing of health unless nothing else comes
+		if e.spoilt++; e.spoilt >= spoiltDown {
+			s.failed(e, "spoilt answers")
+		}
 	case RefusedConn:
 		s.failed(e, "refuses connections")
 	case Errored, Severed:
@@ -781,7 +788,7 @@
 		e.well = max(e.well, sent)
 	}
 	e.lastOK = s.now
-	e.fails, e.fulls, e.lane.fulls = 0, 0, 0
+	e.fails, e.fulls, e.spoilt, e.lane.fulls = 0, 0, 0, 0
 	e.bad *= 1 - badAlpha
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -48,6 +48,8 @@
 	sent              []Micros
 	bad               float64
 	fails, fulls      int // in a row
+	spoilt            int
+	goneAt            Micros
 	lastOK, lastBad   Micros
 	well              Micros // last answer that shows it to be well for itself
 	suspect           bool   // out, as far as we know
@@ -130,7 +132,9 @@
 	out       []Action
 	eps       map[EndpointID]*endpoint
 	dests     map[int64]*dest
-	order     []*dest // dests, in the order in which they became known
+	order     []*dest     // dests, in the order in which they became known
+	gone      []*endpoint // off the list, not yet forgotten
+	forgetAt  Micros
 	msgs      map[string]*msg
 	held      []*msg // messages not over, in order of arrival
 	flying    []*attempt
@@ -166,10 +170,53 @@
 func (s *Sender) at(t Micros) { s.wake = min(s.wake, t) }
 
 func (s *Sender) unlist(e *endpoint) {
-	e.state = Gone
+	if e.state != Gone {
+		s.gone = append(s.gone, e)
+	}
+	e.state, e.goneAt = Gone, s.now
 	e.dest.eps = slices.DeleteFunc(e.dest.eps, func(x *endpoint) bool { return x == e })
 }
 
+// forget drops what nothing refers to any more: endpoints that have long been off the list, destinations that
+// have neither endpoints nor messages, keys at rest. Else they pile up over the life of a process.
+func (s *Sender) forget() {
+	if s.now < s.forgetAt {
+		return
+	}
+	s.forgetAt = s.now + keepGone/8
+	s.gone = slices.DeleteFunc(s.gone, func(e *endpoint) bool {
+		if e.state != Gone {
+			return true // it has come back
+		}
+		if s.now < e.goneAt+keepGone || e.inflight > 0 {
+			return false
+		}
+		if s.eps[e.id] == e {
+			delete(s.eps, e.id)
+		}
+		return true
+	})
+	used := map[*dest]bool{}
+	for _, m := range s.msgs {
+		used[m.dest] = true
+	}
+	for _, e := range s.gone {
+		used[e.dest] = true
+	}
+	s.order = slices.DeleteFunc(s.order, func(d *dest) bool {
+		if len(d.eps) > 0 || used[d] || s.now < d.used+idleAge {
+			return false
+		}
+		delete(s.dests, d.id)
+		return true
+	})
+	for key, l := range s.keys {
+		if len(l.q) == 0 && s.now >= l.quiet {
+			delete(s.keys, key)
+		}
+	}
+}
+
 func (s *Sender) dest(id int64) *dest {
 	d := s.dests[id]
 	if d == nil {
--- a/logic/types.go
+++ b/logic/types.go
@@ -196,6 +196,7 @@
 	Severed                    // the connection broke
 	Recalled                   // called off
 	Moot                       // never sent: no slot, message over, or too many attempts
+	Spoilt                     // answered with what can't be read: it may have run, and the endpoint is there
 )
 
 // Reply is the one outcome of an attempt.
