Tell connections that break from an outage

Now three breaks in a row without an answer between are an outage, or one and then no new connection; unsafe calls keep off kept connections for 5 s after one broke under a call. A whole list that leaves an endpoint out now gives its idle connections back too (found by TestRemovedEndpoint).

--- a/internal/node/answer_test.go
+++ b/internal/node/answer_test.go
@@ -281,3 +281,65 @@
 		}
 	})
 }
+
+// Connections to an endpoint that is taken off the list are given back, and a new one at its address starts afresh.
+func TestRemovedEndpoint(t *testing.T) {
+	n, c, p, e := world(t, 1)
+	c.put("a", "safe", "+OK")
+	first := await(t, e[0].calls, "call")
+	first.reply(200)
+	for stop := time.Now().Add(patience); ; { // until the connection is idle
+		n.caller.mu.Lock()
+		idle := n.caller.count
+		n.caller.mu.Unlock()
+		if idle == 1 {
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatal("the connection is not kept")
+		}
+	}
+	again := instances(e[0])
+	again[0].ID = "new at the old address"
+	p.set(func() { p.list = List{Generation: 2, Reset: true, Instances: again} })
+	taken(t, p, 2)
+	c.put("b", "safe", "+OK")
+	second := await(t, e[0].calls, "call")
+	if second.conn == first.conn {
+		t.Error("the new endpoint is called over a connection of the old one")
+	}
+	second.reply(200)
+	n.caller.mu.Lock()
+	if len(n.caller.idle[1]) != 0 {
+		t.Errorf("%d connections to the old endpoint are kept", len(n.caller.idle[1]))
+	}
+	n.caller.mu.Unlock()
+	stopClean(t, n)
+}
+
+// While kept connections break under calls, a call that a reset would end for good goes over a new one.
+func TestFragileKeepsOffBreakingConnections(t *testing.T) {
+	e, c := newEndpoint(t), testCaller()
+	c.settle = 0
+	call := func(fragile bool, end func(*inCall)) (*inCall, result) {
+		t.Helper()
+		in := newCall(t, e.addr(), "hello", patience)
+		in.fragile = fragile
+		got := goDo(t.Context(), c, in)
+		out := await(t, e.calls, "call")
+		end(out)
+		return out, await(t, got, "result")
+	}
+	answered := func(in *inCall) { in.reply(200) }
+	first, _ := call(true, answered)
+	if second, _ := call(true, answered); second.conn != first.conn {
+		t.Error("kept connections are not used while none breaks")
+	}
+	if _, r := call(false, (*inCall).reset); r.outcome != logic.Severed {
+		t.Errorf("got %+v, want Severed", r)
+	}
+	third, _ := call(false, answered)
+	if fourth, _ := call(true, answered); fourth.conn == third.conn {
+		t.Error("a fragile call over a kept connection while those break")
+	}
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -23,6 +23,7 @@
 	lingerTime = 50 * time.Millisecond  // for the endpoint to see that a call is given up
 	idleMargin = 500 * time.Millisecond // a connection is not used this close to the end of its idle time
 	settleTime = 20 * time.Millisecond  // after an answer, for what comes behind it to show
+	brokeTime  = 5 * time.Second        // after a kept connection broke, fragile calls make new ones
 	probeTime  = 1500 * time.Millisecond
 )
 
@@ -33,6 +34,7 @@
 	ep      logic.EndpointID
 	addr    string
 	giveUp  time.Duration
+	fragile bool      // a reset is its end: it keeps off kept connections while those break
 	writeBy time.Time // not to be written after this; zero for no such time
 	request *http.Request
 	state   *atomic.Int32
@@ -59,7 +61,7 @@
 	r     *bufio.Reader
 	limit *io.LimitedReader
 	addr  string
-	since time.Time
+	since time.Time // when it became idle; zero if it never was
 }
 
 // errNoRoom says that this process has no descriptor to spare for a call.
@@ -77,8 +79,9 @@
 	most        shares
 	mu          sync.Mutex
 	idle        map[logic.EndpointID][]*idleConn
-	count       int // idle connections
-	open        int // connections, those that are being made too
+	count       int       // idle connections
+	open        int       // connections, those that are being made too
+	brokeAt     time.Time // when a kept connection last broke under a call
 }
 
 func newCaller(connectTime, idleTime time.Duration, perEndpoint int, most shares) *caller {
@@ -120,6 +123,11 @@
 	}
 	conn.limit.N = maxAnswer
 	r, keep := readAnswer(conn.r, limit)
+	if r.outcome == logic.Severed && !conn.since.IsZero() {
+		c.mu.Lock()
+		c.brokeAt = time.Now()
+		c.mu.Unlock()
+	}
 	if conn.limit.N <= 0 && r.outcome != logic.Completed {
 		r = result{outcome: logic.Spoilt} // it goes on for ever, say
 	}
@@ -203,7 +211,7 @@
 
 // connect takes a kept connection or makes one.
 func (c *caller) connect(ctx context.Context, in *call, deadline time.Time) (*idleConn, error) {
-	if conn := c.take(in.ep, in.addr); conn != nil {
+	if conn := c.take(in); conn != nil {
 		return conn, nil
 	}
 	if !c.reserve() {
@@ -288,9 +296,13 @@
 
 // take returns the kept connection to ep that was used last, if it is still good. One
 // whose last answer came just now is left: more may be on its way behind that.
-func (c *caller) take(ep logic.EndpointID, addr string) *idleConn {
+func (c *caller) take(in *call) *idleConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	ep, addr := in.ep, in.addr
+	if in.fragile && time.Since(c.brokeAt) < brokeTime {
+		return nil
+	}
 	list := slices.Clone(c.idle[ep])
 	defer func() { c.keep(ep, list) }()
 	for i := len(list) - 1; i >= 0; i-- {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -321,6 +321,11 @@
 			n.caller.release(row.Endpoint)
 		}
 	}
+	for id, to := range n.dir.eps { // a whole list leaves out what is gone
+		if !to.gone.IsZero() {
+			n.caller.release(id)
+		}
+	}
 	n.next = append(n.next, logic.Endpoints{Form: form, Entries: rows})
 }
 
@@ -531,10 +536,10 @@
 	h.tries++
 	to := n.dir.eps[a.Endpoint]
 	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp), state: new(atomic.Int32)}
-	if e := n.journal.Entry(a.ID); e != nil && e.MayRun { // a repeat: by the end of the window it must be written
-		if c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]; c.Effect == logic.Keyed {
-			in.writeBy = time.UnixMicro(e.FirstMay).Add(span(c.Window))
-		}
+	c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]
+	in.fragile = c.Effect == logic.Unsafe
+	if e := n.journal.Entry(a.ID); e != nil && e.MayRun && c.Effect == logic.Keyed { // a repeat: by the end of the window it must be written
+		in.writeBy = time.UnixMicro(e.FirstMay).Add(span(c.Window))
 	}
 	ctx, stop := context.WithCancel(work)
 	h.stop, h.call = stop, in
--- a/logic/churn_test.go
+++ b/logic/churn_test.go
@@ -74,3 +74,43 @@
 		t.Errorf("not out after %d spoilt answers in a row", spoiltDown)
 	}
 }
+
+// Connections break now and then without an outage: with answers between, an endpoint stays in use; a row of
+// breaks, or one and then no new connection, is an outage.
+func TestResetsAndOutage(t *testing.T) {
+	set := Settings{Senders: 1, Slots: 4, MaxTries: 100, Tick: 5000, MayCancel: true,
+		Classes: []Class{{Name: "c", Aim: Second, Deadline: 100 * Second, Worth: 1}}}
+	for _, x := range []struct {
+		name     string
+		outcomes []Outcome
+		out      bool
+	}{
+		{"now and then", []Outcome{Severed, Severed, Full, Severed, Severed, Full, Severed}, false},
+		{"three in a row", []Outcome{Severed, Severed, Severed}, true},
+		{"break and no connection", []Outcome{Severed, RefusedConn}, true},
+		{"no connection from the start", []Outcome{RefusedConn}, true},
+		{"no connection once, just after an answer", []Outcome{Completed, RefusedConn}, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			s, err := New(set, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Step(0, []Event{Endpoints{Form: ListFull, Entries: []Entry{{Endpoint: 1, Dest: 1}}}})
+			e, now := s.eps[1], Micros(0)
+			for i, o := range x.outcomes {
+				id := string(rune('a' + i))
+				s.Step(now, []Event{Call{ID: id, Left: 10 * Second, Dest: 1, Tenant: -1}})
+				now += Second / 2
+				s.Step(now, []Event{Reply{ID: id, NoMore: true, Endpoint: 1, Outcome: o, Took: 1000}})
+				now += 3 * Second
+				if o == Completed {
+					now -= 3 * Second
+				}
+			}
+			if e.suspect != x.out {
+				t.Errorf("out: %v, want %v", e.suspect, x.out)
+			}
+		})
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,6 +53,8 @@
 	restPart    = 0.1          // ours: least mean part of its time left that a refused message rests
 	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
+	resetsDown  = 3            // ours: connections that break in a row, no answer between, look like an outage
+	lately      = Second       // ours: one refused connection does not, if an answer came so shortly before
 	spoiltDown  = 4            // ours: spoilt answers in a row that look like an outage
 	errorRest   = 100_000      // ours: pause of a message after an error, doubled with each try
 
@@ -692,6 +694,9 @@
 	}
 	s.turned[e.dest.kind] = x
 	s.report(e, r.Load)
+	if r.Outcome == Completed || r.Outcome == Full || r.Outcome == Errored {
+		e.resets = 0
+	}
 	if r.Outcome != Full && r.Outcome != RefusedConn && r.Outcome != Moot {
 		m.mayRun = true
 	}
@@ -736,8 +741,17 @@
 			s.failed(e, "spoilt answers")
 		}
 	case RefusedConn:
-		s.failed(e, "refuses connections")
-	case Errored, Severed:
+		if e.resets++; e.resets > 1 || e.lastOK < s.now-lately {
+			s.failed(e, "refuses connections")
+		}
+	case Severed:
+		// A connection that breaks may be at fault itself: one that was kept too long, a box in between. An
+		// endpoint that is down breaks all, and takes no new ones.
+		if e.resets++; e.resets >= resetsDown || e.suspect {
+			s.failed(e, "resets")
+		}
+		m.rest = s.now + errorRest
+	case Errored:
 		s.failed(e, "errors")
 		m.rest = s.now + errorRest<<min(m.tries, 5)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -48,7 +48,7 @@
 	sent              []Micros
 	bad               float64
 	fails, fulls      int // in a row
-	spoilt            int
+	spoilt, resets    int // in a row
 	goneAt            Micros
 	lastOK, lastBad   Micros
 	well              Micros // last answer that shows it to be well for itself
