--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -12,7 +12,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"ravenmount/internal/node"
+	"cometrack/internal/config"
+	"cometrack/internal/daemon"
 )
 
 func main() {
@@ -28,7 +29,7 @@
 func run(log *slog.Logger, hup <-chan os.Signal) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := node.LoadConfig()
+	cfg, err := config.LoadPlatform()
 	if err != nil {
 		return err
 	}
@@ -38,10 +39,9 @@
 	if m := cfg.Limits.MemoryMB; m > 0 {
 		debug.SetMemoryLimit(int64(m * 0.7 * (1 << 20)))
 	}
-	n, err := node.New(cfg, log)
+	n, err := daemon.NewPlatform(cfg, log)
 	if err != nil {
 		return err
 	}
-	n.ReloadOn(hup, node.LoadConfig)
-	return n.Run(ctx)
+	return n.Run(ctx, hup, config.LoadPlatform)
 }
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"ravenmount/internal/wire"
-	"ravenmount/logic"
+	"cometrack/internal/wire"
+	"cometrack/logic"
 )
 
 func main() {
--- /dev/null
+++ b/internal/config/doc.go
@@ -0,0 +1,3 @@
+// Package config reads the files and variables that set the program up, and
+// checks them.
+package config
--- a/internal/node/config.go
+++ b/internal/config/platform.go
@@ -1,7 +1,4 @@
-// Package node is the sender on real sockets: it takes messages from clients,
-// keeps them in a journal, and lets a logic.Sender decide what is sent where and
-// when. It decides nothing about messages itself.
-package node
+package config
 
 import (
 	"encoding/json"
@@ -11,7 +8,8 @@
 	"os"
 	"strconv"
 
-	"ravenmount/internal/wire"
+	"cometrack/internal/source/platform"
+	"cometrack/internal/wire"
 )
 
 // Limits are the bounds that the platform sets for the process.
@@ -22,22 +20,20 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
-// Config is what the platform tells a sender at its start.
-type Config struct {
+// Platform is what the platform tells a sender at its start.
+type Platform struct {
 	Name      string
 	Listen    string
 	Discovery string
 	StateDir  string
 	Seed      uint64
 	Limits    Limits
-	Known     List
+	Known     platform.List
 	Deploy    wire.Deployment
-	Classes   map[string]int
-	Tenants   map[string]int
 }
 
-// LoadConfig reads the environment and the file that it names.
-func LoadConfig() (*Config, error) {
+// LoadPlatform reads the environment and the file that it names.
+func LoadPlatform() (*Platform, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, errors.New("BALANCER_CONFIG is not set")
@@ -46,7 +42,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read config: %w", err)
 	}
-	cfg, err := ParseConfig(text)
+	cfg, err := ParsePlatform(text)
 	if err != nil {
 		return nil, fmt.Errorf("config %s: %w", path, err)
 	}
@@ -68,15 +64,15 @@
 	return cfg, nil
 }
 
-// ParseConfig reads the text of the configuration file.
-func ParseConfig(text []byte) (*Config, error) {
+// ParsePlatform reads the text of the configuration file.
+func ParsePlatform(text []byte) (*Platform, error) {
 	var in struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
-		Known     List            `json:"known"`
+		Known     platform.List   `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
@@ -86,18 +82,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	cfg := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known,
-		Deploy: deploy, Classes: map[string]int{}, Tenants: map[string]int{}}
+	cfg := &Platform{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known,
+		Deploy: deploy}
 	if in.Seed != "" {
 		if cfg.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("seed: %w", err)
 		}
 	}
-	for i, c := range deploy.Settings.Classes {
-		cfg.Classes[c.Name] = i
-	}
-	for i, t := range deploy.Settings.Tenants {
-		cfg.Tenants[t.Name] = i
-	}
 	return cfg, nil
 }
--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,125 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/internal/store"
+	"cometrack/logic"
+)
+
+// callOut makes an attempt. Without its record in the journal it is not made.
+func (c *Core) callOut(work context.Context, a logic.CallOut, written bool) {
+	h := c.held[a.ID]
+	if h == nil { // never taken on; the module is still owed its one outcome
+		c.next = append(c.next, logic.Reply{ID: a.ID, NoMore: true, Endpoint: a.Endpoint, Outcome: logic.Moot})
+		return
+	}
+	to := c.dir.eps[a.Endpoint]
+	out := &Attempt{Message: h.msg, Number: h.tries, Endpoint: a.Endpoint, Addr: to.addr, GiveUp: span(a.GiveUp)}
+	h.tries++
+	class := c.cfg.Settings.Classes[c.classes[h.msg.Class]]
+	out.Fragile = class.Effect == logic.Unsafe
+	if e := c.store.Entry(a.ID); e != nil && e.MayRun && class.Effect == logic.Keyed { // a repeat: by the end of the window it must be written
+		out.WriteBy = time.UnixMicro(e.FirstMay).Add(span(class.Window))
+	}
+	ctx, stop := context.WithCancel(work)
+	h.stop, h.attempt = stop, out
+	if !written {
+		ev := replyEvent{attempt: out, result: Result{Outcome: logic.Moot}}
+		time.AfterFunc(retryPause, func() { c.post(ev) }) // a full disk, say: room may come
+		return
+	}
+	go func() {
+		at := time.Now()
+		r := c.transport.Attempt(ctx, out)
+		took := time.Since(at)
+		if r.Local {
+			pause(ctx, retryPause) // descriptors, say: room may come
+		}
+		c.post(replyEvent{out, r, took})
+	}()
+}
+
+// pause waits for d or until ctx is over.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// reply takes the one outcome of an attempt.
+func (c *Core) reply(ev replyEvent) {
+	id := ev.attempt.Message.ID
+	h := c.held[id]
+	if h == nil {
+		return
+	}
+	if h.stop != nil {
+		h.stop()
+		h.stop, h.attempt = nil, nil
+	}
+	r := ev.result
+	if r.Wait > 0 {
+		c.holdWait(ev.attempt.Endpoint)
+	}
+	ended := h.over
+	done := r.Outcome == logic.Completed || r.Over
+	switch {
+	case ended:
+	case done:
+		c.deliver(id, h, r)
+	default:
+		c.records = append(c.records, store.Record{Op: store.OpOutcome, ID: id, MayRun: mayHaveRun(r.Outcome)})
+	}
+	if h.over {
+		delete(c.held, id)
+	}
+	c.next = append(c.next, logic.Reply{ID: id, NoMore: ended || done, Endpoint: ev.attempt.Endpoint,
+		Attempt: ev.attempt.Number, Outcome: r.Outcome, Took: micros(ev.took), Wait: micros(r.Wait)})
+}
+
+// deliver ends a message that an attempt has ended.
+func (c *Core) deliver(id string, h *held, r Result) {
+	now := time.Now().UnixMicro()
+	if c.cfg.TellDelivered && r.Outcome == logic.Completed {
+		end := message.End{ID: id, State: message.Delivered, At: now, Tries: h.tries}
+		c.records = append(c.records, store.Record{Op: store.OpEnd, ID: id, End: &end})
+		c.tell = append(c.tell, end)
+	} else {
+		c.records = append(c.records, store.Record{Op: store.OpDone, ID: id, At: now})
+	}
+	c.finish(id, h)
+}
+
+// mayHaveRun says what an outcome leaves open.
+func mayHaveRun(o logic.Outcome) bool {
+	return o != logic.Full && o != logic.RefusedConn && o != logic.Moot
+}
+
+// hold keeps attempts that have not begun from going out: what the module decided before it knew better would
+// reach the endpoint long after. They end as never sent.
+func (c *Core) hold(match func(ep logic.EndpointID) bool) {
+	for _, h := range c.held {
+		if h.stop != nil && match(h.attempt.Endpoint) && h.attempt.Hold() {
+			h.stop()
+		}
+	}
+}
+
+// holdWait holds calls to where a wait was told: the destination, or the one route where routes are apart.
+func (c *Core) holdWait(ep logic.EndpointID) {
+	to := c.dir.eps[ep]
+	kinds := c.cfg.Settings.Kinds
+	apart := to.kind >= 0 && to.kind < len(kinds) && kinds[to.kind].Apart
+	c.hold(func(x logic.EndpointID) bool { return x == ep || !apart && c.dir.eps[x].partner == to.partner })
+}
+
+func (c *Core) probe(work context.Context, ep logic.EndpointID) {
+	addr := c.dir.eps[ep].addr
+	go func() { c.post(healthEvent{ep, c.transport.Probe(work, ep, addr)}) }()
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,178 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/internal/store"
+	"cometrack/logic"
+)
+
+const (
+	acceptOn   = 500 * time.Millisecond  // once it is to stop, clients are served on for so long
+	stopSends  = 3200 * time.Millisecond // what is sent after that must end by then
+	stopAll    = 3400 * time.Millisecond // and Run returns soon after this
+	sweepEvery = time.Second
+	retryPause = 250 * time.Millisecond // of an attempt that could not be written to the journal
+	eventRoom  = 4096
+)
+
+// Config is what the core needs to know of a deployment.
+type Config struct {
+	Name     string
+	Settings logic.Settings
+	Seed     uint64
+	Zones    []string // names, in the order of logic.Entry.Zone
+	Known    *List    // the endpoints as last known, perhaps old; nil if none are
+	// TellDelivered has the end sink told of deliveries too; else it hears of
+	// messages that ended otherwise.
+	TellDelivered bool
+}
+
+// Parts are what a core works with. It owns the store from New on.
+type Parts struct {
+	Store     Store
+	Transport Transport
+	Source    Source
+	Sink      EndSink
+	Log       *slog.Logger
+}
+
+// held is a message that the module has and that is not over.
+type held struct {
+	msg      *message.Message
+	accepted int64 // Unix time in microseconds
+	tries    int
+	over     bool               // ended; an attempt is still out
+	stop     context.CancelFunc // of the attempt that is out
+	attempt  *Attempt           // that attempt
+}
+
+// Core is one sender.
+type Core struct {
+	cfg       Config
+	classes   map[string]int
+	tenants   map[string]int
+	log       *slog.Logger
+	store     Store
+	transport Transport
+	source    Source
+	sink      EndSink
+	sender    *logic.Sender
+	events    chan any
+	done      chan struct{} // closed when the loop has ended
+	ready     chan struct{} // closed once clients are served
+
+	// What follows belongs to the loop.
+	dir      *directory
+	heard    bool // the source itself has told of a list, in the life of this process
+	due      *time.Timer
+	token    uint64
+	start    time.Time
+	held     map[string]*held
+	open     int           // of held, those not over
+	next     []logic.Event // for the next step
+	closing  bool
+	puts     []putEvent
+	fresh    map[string]*message.Message // of puts, those that are new, by id
+	asks     []stateEvent
+	records  []store.Record
+	tell     []message.End // deliveries that the sink is to be told of
+	ended    []string      // messages that are over since the last step
+	watchers map[string][]chan State
+}
+
+// New makes a core. Run starts it.
+func New(cfg Config, parts Parts) (*Core, error) {
+	sender, err := logic.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{cfg: cfg, classes: map[string]int{}, tenants: map[string]int{}, log: parts.Log, store: parts.Store,
+		transport: parts.Transport, source: parts.Source, sink: parts.Sink, sender: sender,
+		events: make(chan any, eventRoom), done: make(chan struct{}), ready: make(chan struct{}),
+		dir: newDirectory(cfg.Zones, cfg.Settings.Kinds), start: time.Now(), due: time.NewTimer(time.Hour),
+		held: map[string]*held{}, fresh: map[string]*message.Message{}, watchers: map[string][]chan State{}}
+	for i, x := range cfg.Settings.Classes {
+		c.classes[x.Name] = i
+	}
+	for i, x := range cfg.Settings.Tenants {
+		c.tenants[x.Name] = i
+	}
+	return c, nil
+}
+
+// Ready is closed once the fronts serve clients.
+func (c *Core) Ready() <-chan struct{} { return c.ready }
+
+func span(t logic.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
+func micros(d time.Duration) logic.Micros {
+	return logic.Micros(d / time.Microsecond)
+}
+
+// Run serves until ctx is cancelled, then shuts down in good order. It closes the
+// store.
+func (c *Core) Run(ctx context.Context, fronts ...Front) error {
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer c.store.Close()
+	defer close(c.done)
+	c.resume()
+	c.step(work) // what the store holds comes first: its ends are due
+	attrs := []any{"name", c.cfg.Name, "held", len(c.held)}
+	for _, f := range fronts {
+		if err := f.Listen(); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		defer f.CloseListener()
+		attrs = append(attrs, "addr", f.Addr().String())
+	}
+	go c.sink.Run(work, func(ids []string) { c.post(confirmedEvent{ids}) })
+	for _, f := range fronts {
+		go f.Serve()
+	}
+	c.log.Info("ready", attrs...)
+	close(c.ready)
+	served := make(chan struct{}) // closed when no client is left
+	stopped := make(chan struct{})
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+			return
+		}
+		at := time.Now()
+		c.post(closingEvent{stopSends})
+		time.Sleep(acceptOn)
+		grace, end := context.WithDeadline(work, at.Add(stopAll))
+		defer end()
+		left := make(chan struct{})
+		for _, f := range fronts {
+			f.CloseListener()
+			go func() {
+				f.Shutdown(grace)
+				left <- struct{}{}
+			}()
+		}
+		for range fronts {
+			<-left
+		}
+		close(served)
+		<-grace.Done()
+		close(stopped)
+	}()
+	return c.loop(work, served, stopped)
+}
+
+// post hands the loop what has happened; false once the loop has ended.
+func (c *Core) post(ev any) bool {
+	select {
+	case c.events <- ev:
+		return true
+	case <-c.done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,515 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/internal/store"
+	"cometrack/logic"
+)
+
+// patience bounds every wait for an event: it is not reached unless a test fails.
+const patience = 20 * time.Second
+
+func await[T any](t *testing.T, ch <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("no %s", what)
+	}
+	panic("unreachable")
+}
+
+// sent is an attempt that a test answers.
+type sent struct {
+	*Attempt
+	result chan Result
+}
+
+// hand is a transport whose attempts are answered by hand.
+type hand struct {
+	attempts chan sent
+	probes   chan logic.EndpointID
+	released []logic.EndpointID // by the loop, or a test in its place
+}
+
+func (h *hand) Attempt(_ context.Context, a *Attempt) Result {
+	if !a.Begin() {
+		return Result{Outcome: logic.Moot}
+	}
+	s := sent{a, make(chan Result, 1)}
+	h.attempts <- s
+	return <-s.result
+}
+
+func (h *hand) Probe(_ context.Context, ep logic.EndpointID, _ string) logic.Outcome {
+	h.probes <- ep
+	return logic.Completed
+}
+func (h *hand) Release(ep logic.EndpointID) { h.released = append(h.released, ep) }
+func (h *hand) Sweep()                      {}
+
+// still is a source that has no news.
+type still struct{}
+
+func (still) Watch(context.Context, func(News)) {}
+func (still) Takes(News) bool                   { return true }
+
+// ends keeps what it is told until a test confirms it.
+type ends struct {
+	told    chan message.End
+	confirm chan string
+}
+
+func (e *ends) Add(x message.End) { e.told <- x }
+func (e *ends) Run(ctx context.Context, confirm func([]string)) {
+	for {
+		select {
+		case id := <-e.confirm:
+			confirm([]string{id})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// failing is a store whose writes fail while it is told so.
+type failing struct {
+	Store
+	mu   sync.Mutex
+	fail bool
+}
+
+func (f *failing) Append(recs []store.Record) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fail && len(recs) > 0 {
+		return errors.New("no space left")
+	}
+	return f.Store.Append(recs)
+}
+
+func (f *failing) set(fail bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fail = fail
+}
+
+// rig is a core with parts that a test holds in its hands.
+type rig struct {
+	*Core
+	t     *testing.T
+	hand  *hand
+	ends  *ends
+	store *failing
+	stop  context.CancelFunc
+	done  chan error
+}
+
+func testConfig() Config {
+	return Config{Name: "t", Zones: []string{"a", "b"}, TellDelivered: true,
+		Known: &List{Whole: true, Endpoints: []Endpoint{{Name: "e1", Addr: "h:1", Zone: "a", Kind: "std", Partner: "acme", Weight: 1000}}},
+		Settings: logic.Settings{Senders: 1, Zones: 2, Slots: 8, MaxOpen: 8, MaxTries: 3, Tick: 1000, MayCancel: true, RetryAfter: true,
+			MaxRetryAfter: 2 * logic.Second, Weights: logic.WeightsNominal, ConnIdle: 10 * logic.Second, ConnCalls: 1, Halves: true,
+			DrainGrace: 2 * logic.Second, FallMultiple: 2, FallWindow: 3 * logic.Second, ColdFrom: 0.2, WarmAfter: 14 * logic.Second,
+			ReportLeft: -1, ReportLimit: -1, Kinds: []logic.Kind{{Name: "std", Batch: 1}}, Tenants: []logic.Tenant{{Name: "north"}},
+			Classes: []logic.Class{
+				{Name: "safe", Aim: 2 * logic.Second, Deadline: 16 * logic.Second, Worth: 1, LateWorth: 0.4},
+				{Name: "keyed", Aim: 2 * logic.Second, Deadline: 16 * logic.Second, Worth: 1, LateWorth: 0.4, Effect: logic.Keyed, Window: 20 * logic.Second},
+				{Name: "unsafe", Aim: 2 * logic.Second, Deadline: 16 * logic.Second, Worth: 1, LateWorth: 0.4, Effect: logic.Unsafe}}}}
+}
+
+func newRig(t *testing.T, dir string, cfg Config) *rig {
+	t.Helper()
+	j, err := store.Open(dir, store.Options{Disk: 3e6, KeepEnded: time.Hour, MostEnded: 100, SaveEnded: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, hand: &hand{attempts: make(chan sent, 64), probes: make(chan logic.EndpointID, 1)}, store: &failing{Store: j},
+		ends: &ends{make(chan message.End, 64), make(chan string, 64)}, done: make(chan error, 1)}
+	r.Core, err = New(cfg, Parts{Store: r.store, Transport: r.hand, Source: still{}, Sink: r.ends, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (r *rig) run() *rig {
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	go func() { r.done <- r.Run(ctx) }()
+	r.t.Cleanup(stop)
+	await(r.t, r.Ready(), "ready core")
+	return r
+}
+
+func (r *rig) halt() {
+	r.t.Helper()
+	r.stop()
+	if err := await(r.t, r.done, "end of the core"); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func newMessage(id, class string) *message.Message {
+	return &message.Message{ID: id, Key: "k-" + id, Class: class, Tenant: "north", Partner: "acme",
+		Deadline: time.Now().Add(10 * time.Second).UnixMicro(), Body: []byte("body of " + id)}
+}
+
+func (r *rig) put(m *message.Message) Answer {
+	r.t.Helper()
+	answer := make(chan Answer, 1)
+	r.Submit(m, answer)
+	return await(r.t, answer, "answer to "+m.ID)
+}
+
+func (r *rig) state(id string) string {
+	r.t.Helper()
+	s, err := r.State(r.t.Context(), id, false)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return s.Name
+}
+
+// One state from hand-in to end, over the end's confirmation and over a restart.
+func TestStates(t *testing.T) {
+	dir := t.TempDir()
+	r := newRig(t, dir, testConfig()).run()
+	if got := r.state("a"); got != "" {
+		t.Errorf("before: %q", got)
+	}
+	r.put(newMessage("a", "safe"))
+	in := await(t, r.hand.attempts, "attempt")
+	if got := r.state("a"); got != StateSending {
+		t.Errorf("with an attempt out: %q", got)
+	}
+	over := make(chan State, 1)
+	go func() {
+		s, _ := r.State(t.Context(), "a", true)
+		over <- s
+	}()
+	in.result <- Result{Outcome: logic.Full, Wait: 300 * time.Millisecond}
+	for r.state("a") != StateAccepted { // until the outcome has come
+	}
+	(await(t, r.hand.attempts, "attempt after the wait")).result <- Result{Outcome: logic.Completed}
+	if s := await(t, over, "state of a message that is over"); s.Name != message.Delivered || s.Tries != 2 || s.Over.IsZero() || s.Partner != "acme" {
+		t.Errorf("over: %+v", s)
+	}
+	if x := await(t, r.ends.told, "end"); x.ID != "a" || x.State != message.Delivered || x.Tries != 2 {
+		t.Errorf("told %+v", x)
+	}
+	r.put(newMessage("b", "unsafe"))
+	(await(t, r.hand.attempts, "attempt")).result <- Result{Outcome: logic.Severed}
+	await(t, r.ends.told, "end")
+	r.ends.confirm <- "b"
+	check := func(when string) {
+		t.Helper()
+		if a, b := r.state("a"), r.state("b"); a != message.Delivered || b != message.Failed {
+			t.Errorf("%s: %q %q", when, a, b)
+		}
+	}
+	check("before the restart")
+	r.halt()
+	if _, err := r.State(t.Context(), "a", true); !errors.Is(err, ErrStopped) {
+		t.Errorf("after the end: %v", err)
+	}
+	r = newRig(t, dir, testConfig()).run()
+	if x := await(t, r.ends.told, "end that nobody confirmed"); x.ID != "a" || x.State != message.Delivered {
+		t.Errorf("told %+v", x)
+	}
+	check("after the restart")
+	r.ends.confirm <- "a"
+	if a := r.put(newMessage("b", "unsafe")); a.Verdict != Accepted || !a.Again {
+		t.Errorf("handed in again after its end: %+v", a)
+	}
+	r.halt()
+}
+
+// The same id is one message; with another content it is told apart, held or over.
+func TestSameID(t *testing.T) {
+	r := newRig(t, t.TempDir(), testConfig()).run()
+	other := newMessage("a", "safe")
+	other.Body = []byte("another")
+	answers := make(chan Answer, 3)
+	r.Submit(newMessage("a", "safe"), answers)
+	r.Submit(newMessage("a", "safe"), answers)
+	r.Submit(other, answers)
+	count := map[Verdict]int{}
+	for range 3 {
+		count[await(t, answers, "answer").Verdict]++
+	}
+	if count[Accepted] != 2 || count[Conflict] != 1 {
+		t.Errorf("answers %v", count)
+	}
+	in := await(t, r.hand.attempts, "attempt")
+	if string(in.Message.Body) != "body of a" {
+		t.Errorf("sent %q", in.Message.Body)
+	}
+	in.result <- Result{Outcome: logic.Completed}
+	await(t, r.ends.told, "end")
+	if a := r.put(other); a.Verdict != Conflict {
+		t.Errorf("another message under the id of one that is over: %+v", a)
+	}
+	r.ends.confirm <- "a"
+	if len(r.hand.attempts) != 0 {
+		t.Error("sent twice")
+	}
+	r.halt()
+}
+
+// A thousand races of one id over two submitters: one attempt each, and a state asked for meanwhile is one that the
+// message has had.
+func TestRacedID(t *testing.T) {
+	cfg := testConfig()
+	cfg.Settings.MaxOpen = 0
+	r := newRig(t, t.TempDir(), cfg).run()
+	go func() {
+		for x := range r.ends.told {
+			r.ends.confirm <- x.ID
+		}
+	}()
+	for i := range 1000 {
+		id := fmt.Sprint("m", i)
+		answers := make(chan Answer, 2)
+		for range 2 {
+			go r.Submit(newMessage(id, "unsafe"), answers)
+		}
+		in := await(t, r.hand.attempts, "attempt")
+		if in.Message.ID != id {
+			t.Fatalf("attempt of %s, want %s", in.Message.ID, id)
+		}
+		seen := make(chan string, 1)
+		go func() {
+			s, _ := r.State(context.Background(), id, false)
+			seen <- s.Name
+		}()
+		in.result <- Result{Outcome: logic.Completed}
+		again := 0
+		for range 2 {
+			a := await(t, answers, "answer")
+			if a.Verdict != Accepted {
+				t.Fatalf("answer %+v", a)
+			}
+			if a.Again {
+				again++
+			}
+		}
+		if again != 1 {
+			t.Fatalf("%d of two answers say that it was known", again)
+		}
+		if s := await(t, seen, "state"); s != StateSending && s != message.Delivered && s != StateAccepted {
+			t.Fatalf("state %q", s)
+		}
+		if s, err := r.State(t.Context(), id, true); err != nil || s.Name != message.Delivered || s.Tries != 1 {
+			t.Fatalf("state %+v, %v", s, err)
+		}
+	}
+	r.halt()
+	if len(r.hand.attempts) != 0 {
+		t.Error("a message was sent twice")
+	}
+}
+
+// Nobody who gives up waiting leaves anything behind.
+func TestWatchGivenUp(t *testing.T) {
+	r := newRig(t, t.TempDir(), testConfig()).run()
+	r.put(newMessage("a", "safe"))
+	in := await(t, r.hand.attempts, "attempt")
+	ctx, cancel := context.WithCancel(t.Context())
+	got := make(chan State, 1)
+	go func() {
+		s, err := r.State(ctx, "a", true)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- s
+	}()
+	cancel()
+	if s := await(t, got, "state"); s.Name != StateSending {
+		t.Errorf("state %+v", s)
+	}
+	in.result <- Result{Outcome: logic.Completed}
+	await(t, r.ends.told, "end")
+	r.ends.confirm <- "a"
+	r.halt()
+	if len(r.watchers) != 0 {
+		t.Errorf("%d watched messages are left", len(r.watchers))
+	}
+}
+
+// The hold has a limit; what comes above it is turned away, and so is what the store has no room for.
+func TestDoor(t *testing.T) {
+	r := newRig(t, t.TempDir(), testConfig())
+	r.resume()
+	put := func() Answer {
+		answer := make(chan Answer, 1)
+		r.Core.put(putEvent{newMessage("a", "safe"), answer})
+		return await(t, answer, "answer")
+	}
+	r.open = r.cfg.Settings.MaxOpen
+	if a := put(); a.Verdict != Busy {
+		t.Errorf("above max_open: %+v", a)
+	}
+	r.open = 0
+	for i := 0; r.store.Room(9); i++ {
+		if err := r.store.Append([]store.Record{{Op: store.OpAccept, Entry: &store.Entry{
+			Message: message.Message{ID: fmt.Sprint("f", i), Body: make([]byte, 60000)}}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a := put(); a.Verdict != Busy {
+		t.Errorf("without room in the store: %+v", a)
+	}
+}
+
+// A message that can't be journalled is not taken on: it would be lost with the process. Nothing of it is sent,
+// and the module gets the outcome of what it wanted to send, or a slot would be lost for good.
+func TestStoreFails(t *testing.T) {
+	r := newRig(t, t.TempDir(), testConfig()).run()
+	r.store.set(true)
+	for i := range 10 { // more than there are slots
+		if a := r.put(newMessage(fmt.Sprint("x", i), "safe")); a.Verdict != Busy {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+	if len(r.hand.attempts) != 0 {
+		t.Error("sent without a record")
+	}
+	r.store.set(false)
+	if a := r.put(newMessage("a", "safe")); a.Verdict != Accepted {
+		t.Fatalf("answer %+v", a)
+	}
+	in := await(t, r.hand.attempts, "attempt")
+	if in.Message.ID != "a" {
+		t.Fatalf("attempt of %s", in.Message.ID)
+	}
+	in.result <- Result{Outcome: logic.Completed}
+	await(t, r.ends.told, "end")
+	r.ends.confirm <- "a"
+	r.halt()
+}
+
+// A probe that is asked for has its one result.
+func TestProbe(t *testing.T) {
+	r := newRig(t, t.TempDir(), testConfig()).run()
+	r.probe(t.Context(), 1)
+	if ep := await(t, r.hand.probes, "probe"); ep != 1 {
+		t.Errorf("probe of %d", ep)
+	}
+	r.halt()
+}
+
+// A wait or a drain holds the calls that still connect there, and no others.
+func TestHoldReachesWaitingAttempts(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		apart bool
+		learn func(c *Core)
+		held  [4]bool // waiting for endpoints 1 and 2 of one partner and 3 of another; begun at 1
+		freed string  // endpoints whose idle connections are given back
+	}{
+		{"wait, one limit", false, func(c *Core) { c.holdWait(1) }, [4]bool{true, true, false, false}, "[]"},
+		{"wait, routes apart", true, func(c *Core) { c.holdWait(1) }, [4]bool{true, false, false, false}, "[]"},
+		{"drain", false, func(c *Core) {
+			c.news(News{List: List{Endpoints: []Endpoint{{Name: "b", Partner: "p", State: logic.Draining}}}})
+		}, [4]bool{false, true, false, false}, "[2]"},
+		{"whole list", false, func(c *Core) {
+			c.news(News{List: List{Whole: true, Endpoints: []Endpoint{{Name: "a", Partner: "p"}}}})
+		}, [4]bool{false, true, true, false}, "[2 3]"},
+	} {
+		cfg := testConfig()
+		cfg.Settings.Kinds[0].Apart = x.apart
+		r := newRig(t, t.TempDir(), cfg)
+		c := r.Core
+		c.dir.take(List{Endpoints: []Endpoint{{Name: "a", Addr: "h:1", Kind: "std", Partner: "p"},
+			{Name: "b", Addr: "h:2", Kind: "std", Partner: "p"}, {Name: "c", Addr: "h:3", Kind: "std", Partner: "q"}}})
+		var out []*Attempt
+		for i, ep := range []logic.EndpointID{1, 2, 3, 1} {
+			out = append(out, &Attempt{Endpoint: ep})
+			c.held[fmt.Sprint("m", i)] = &held{attempt: out[i], stop: func() {}}
+		}
+		out[3].Begin()
+		x.learn(c)
+		for i, a := range out {
+			if got := a.state.Load() == attemptHeld; got != x.held[i] {
+				t.Errorf("%s: attempt %d held: %v", x.name, i, got)
+			}
+		}
+		slices.Sort(r.hand.released)
+		if got := fmt.Sprint(r.hand.released); got != x.freed {
+			t.Errorf("%s: connections to %s are given back, want %s", x.name, got, x.freed)
+		}
+	}
+}
+
+// Whether an attempt may have run decides after a restart whether an unsafe message is sent again.
+func TestMayHaveRunByOutcome(t *testing.T) {
+	for o, want := range map[logic.Outcome]bool{logic.Completed: true, logic.Errored: true, logic.Overdue: true, logic.Spoilt: true,
+		logic.Severed: true, logic.Recalled: true, logic.Full: false, logic.RefusedConn: false, logic.Moot: false} {
+		if mayHaveRun(o) != want {
+			t.Errorf("outcome %d: may have run %v", o, !want)
+		}
+	}
+}
+
+// Endpoints are ever new: what is off the list for long is forgotten, and no number is given twice.
+func TestDirectoryChurn(t *testing.T) {
+	d := newDirectory(nil, nil)
+	seen := map[logic.EndpointID]bool{}
+	now := time.Now()
+	for i := range 1000 {
+		at := fmt.Sprintf("127.0.0.1:%d", 1+i%3) // at the address of one that has gone
+		l := List{Endpoints: []Endpoint{{Name: fmt.Sprint("s-", i), Addr: at, Partner: "p"}}}
+		if i > 0 {
+			l.Endpoints = append(l.Endpoints, Endpoint{Name: fmt.Sprint("s-", i-1), Partner: "p", State: logic.Gone})
+		}
+		rows := d.take(l)
+		if seen[rows[0].Endpoint] {
+			t.Fatalf("number %d is given twice", rows[0].Endpoint)
+		}
+		seen[rows[0].Endpoint] = true
+		d.forget(now, nil, nil)
+		if i%10 == 9 {
+			now = now.Add(2 * keepGone)
+			for id, to := range d.eps {
+				if !to.gone.IsZero() {
+					d.forget(now, map[logic.EndpointID]bool{id: true}, nil)
+					if _, ok := d.eps[id]; !ok {
+						t.Fatal("an endpoint with a call out is forgotten")
+					}
+					break
+				}
+			}
+			d.forget(now, nil, nil)
+		}
+		if !d.serves("p") || d.serves("q") {
+			t.Fatal("the wrong partners are known")
+		}
+	}
+	d.take(List{Whole: true})
+	later := time.Now().Add(2 * keepGone)
+	d.forget(later, nil, nil)
+	if d.serves("p") || len(d.eps)+len(d.ids) != 0 {
+		t.Errorf("left: %d endpoints, %d names", len(d.eps), len(d.ids))
+	}
+	number := d.partner("p").dest
+	later = later.Add(2 * keepPartner)
+	d.forget(later, nil, map[string]bool{"p": true})
+	if d.partner("p").dest != number {
+		t.Error("a partner with a message is forgotten")
+	}
+	d.forget(later.Add(2*keepPartner), nil, nil)
+	if len(d.partners) != 0 {
+		t.Errorf("left: %d partners", len(d.partners))
+	}
+}
--- /dev/null
+++ b/internal/core/loop.go
@@ -0,0 +1,212 @@
+package core
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/internal/store"
+	"cometrack/logic"
+)
+
+// What the loop is handed. Each stands for one thing that has happened.
+type (
+	// putEvent is a message that a client hands in. It gets one answer.
+	putEvent struct {
+		msg    *message.Message
+		answer chan<- Answer
+	}
+	// stateEvent asks for the state of a message. With watch, the answer waits
+	// until the message is over.
+	stateEvent struct {
+		id     string
+		watch  bool
+		answer chan State // has room for one
+	}
+	// unwatchEvent says that nobody waits for an answer any more.
+	unwatchEvent struct {
+		id     string
+		answer chan State
+	}
+	// replyEvent is the one outcome of an attempt.
+	replyEvent struct {
+		attempt *Attempt
+		result  Result
+		took    time.Duration
+	}
+	// healthEvent is the one outcome of a probe.
+	healthEvent struct {
+		ep      logic.EndpointID
+		outcome logic.Outcome
+	}
+	// confirmedEvent says that the end sink has passed on these ends.
+	confirmedEvent struct{ ids []string }
+	// closingEvent starts the shutdown.
+	closingEvent struct{ left time.Duration }
+)
+
+// loop owns the module and all of the state: it takes what has come, lets the
+// module step, writes the journal and acts, at most once a tick.
+func (c *Core) loop(work context.Context, served, stopped <-chan struct{}) error {
+	tick := max(span(c.cfg.Settings.Tick), time.Millisecond)
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	rest := time.NewTimer(0)
+	defer rest.Stop()
+	defer c.due.Stop()
+	quiet := false // shutting down, and no client is left
+	for {
+		if quiet && c.open == 0 && c.store.Len() == 0 {
+			c.log.Info("stopped", "owed", 0)
+			return nil
+		}
+		select {
+		case ev := <-c.events:
+			c.take(ev)
+		case <-c.due.C:
+			c.next = append(c.next, logic.Due{Token: c.token})
+		case <-sweep.C:
+			c.sweep(time.Now())
+			continue
+		case <-served:
+			quiet, served = true, nil
+			continue
+		case <-stopped:
+			// What is still out stays in the store as it is.
+			c.log.Info("stopped", "owed", c.store.Len())
+			return nil
+		}
+		for more := true; more; {
+			select {
+			case ev := <-c.events:
+				c.take(ev)
+			default:
+				more = false
+			}
+		}
+		c.step(work)
+		for len(c.next) > 0 {
+			c.step(work)
+		}
+		rest.Reset(tick)
+		<-rest.C
+	}
+}
+
+// sweep drops what is of no more use.
+func (c *Core) sweep(now time.Time) {
+	c.transport.Sweep()
+	c.store.Forget(now)
+	calls, partners := map[logic.EndpointID]bool{}, map[string]bool{}
+	for _, h := range c.held {
+		partners[h.msg.Partner] = true
+		if h.attempt != nil {
+			calls[h.attempt.Endpoint] = true
+		}
+	}
+	c.dir.forget(now, calls, partners)
+}
+
+// resume hands the module what the store holds, with what became of it so far.
+func (c *Core) resume() {
+	if c.cfg.Known != nil {
+		c.next = append(c.next, logic.Endpoints{Form: logic.ListCached, Entries: c.dir.take(*c.cfg.Known)})
+	}
+	now := time.Now().UnixMicro()
+	for _, e := range c.store.Entries() {
+		if e.End != nil {
+			c.sink.Add(*e.End)
+			continue
+		}
+		c.held[e.ID] = &held{msg: &e.Message, accepted: e.Accepted, tries: e.Tries}
+		c.open++
+		in := c.callOf(&e.Message, now)
+		in.Past = logic.Past{Tries: e.Tries, MayRun: e.MayRun || e.Open}
+		if in.Past.MayRun {
+			in.Past.Age = logic.Micros(max(now-e.FirstMay, 0))
+			in.Past.Zone = slices.Index(c.cfg.Zones, e.FirstZone)
+		}
+		if in.Class < 0 {
+			c.log.Error("a held message is of a class that is not configured", "id", e.ID, "class", e.Class)
+		}
+		if e.Open { // whoever reads the journal next must not take its outcome for a later one's
+			c.records = append(c.records, store.Record{Op: store.OpOutcome, ID: e.ID, MayRun: true})
+		}
+		c.next = append(c.next, in)
+	}
+}
+
+// callOf is the module's view of a message.
+func (c *Core) callOf(m *message.Message, now int64) logic.Call {
+	in := logic.Call{ID: m.ID, Key: m.Order, Left: logic.Micros(m.Deadline - now), Dest: c.dir.partner(m.Partner).dest,
+		Tenant: -1, Class: -1}
+	if i, ok := c.classes[m.Class]; ok {
+		in.Class = i
+	}
+	if t, ok := c.tenants[m.Tenant]; ok && m.Tenant != "" {
+		in.Tenant = t
+	}
+	return in
+}
+
+// take turns what has come into events for the next step.
+func (c *Core) take(ev any) {
+	switch ev := ev.(type) {
+	case putEvent:
+		c.put(ev)
+	case stateEvent:
+		c.asks = append(c.asks, ev)
+	case unwatchEvent:
+		c.unwatch(ev)
+	case replyEvent:
+		c.reply(ev)
+	case healthEvent:
+		c.next = append(c.next, logic.HealthResult{Endpoint: ev.ep, Outcome: ev.outcome})
+	case News:
+		c.news(ev)
+	case confirmedEvent:
+		now := time.Now().UnixMicro()
+		for _, id := range ev.ids {
+			c.records = append(c.records, store.Record{Op: store.OpNoticed, ID: id, At: now})
+		}
+	case closingEvent:
+		c.closing = true
+		c.next = append(c.next, logic.Closing{Left: micros(ev.left)})
+	}
+}
+
+func (c *Core) news(ev News) {
+	if !c.source.Takes(ev) {
+		return
+	}
+	if ev.Err != nil {
+		c.next = append(c.next, logic.Endpoints{Form: logic.ListFailed})
+		return
+	}
+	c.heard = true
+	form := logic.ListDelta
+	if ev.List.Whole {
+		form = logic.ListFull
+	}
+	rows := c.dir.take(ev.List)
+	ready := map[logic.EndpointID]bool{}
+	for _, row := range rows {
+		ready[row.Endpoint] = row.State == logic.Ready
+	}
+	c.hold(func(ep logic.EndpointID) bool {
+		up, listed := ready[ep]
+		return listed && !up || !listed && ev.List.Whole
+	})
+	for _, row := range rows {
+		if row.State != logic.Ready {
+			c.transport.Release(row.Endpoint)
+		}
+	}
+	for id, to := range c.dir.eps { // a whole list leaves out what is gone
+		if !to.gone.IsZero() {
+			c.transport.Release(id)
+		}
+	}
+	c.next = append(c.next, logic.Endpoints{Form: form, Entries: rows})
+}
--- /dev/null
+++ b/internal/core/seams.go
@@ -0,0 +1,150 @@
+package core
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/internal/store"
+	"cometrack/logic"
+)
+
+// Front takes messages in from clients. Between Listen and the return of
+// Shutdown it submits them through [Core.Submit].
+type Front interface {
+	// Listen opens the listener. Nothing is served before.
+	Listen() error
+	// Addr is where it listens; valid after Listen.
+	Addr() net.Addr
+	// Serve takes clients until CloseListener.
+	Serve()
+	// CloseListener ends the taking of new clients.
+	CloseListener()
+	// Shutdown closes each client's connection once no request is under way on
+	// it, and returns when all are closed or ctx is over.
+	Shutdown(ctx context.Context)
+}
+
+// Transport makes attempts.
+type Transport interface {
+	// Attempt makes one attempt and returns its one outcome. It calls
+	// [Attempt.Begin] before the first byte of the message goes out and sends
+	// nothing if that says no. When ctx is cancelled the attempt is called off;
+	// its outcome still tells the truth: [logic.Full], [logic.RefusedConn] and
+	// [logic.Moot] only if it never ran, [logic.Completed] only if it did. When
+	// Attempt returns, the attempt is over for the peer too as far as a transport
+	// can see to that: the next one may begin at once.
+	Attempt(ctx context.Context, a *Attempt) Result
+	// Probe asks an endpoint whether it is well.
+	Probe(ctx context.Context, ep logic.EndpointID, addr string) logic.Outcome
+	// Release closes the idle connections to an endpoint.
+	Release(ep logic.EndpointID)
+	// Sweep closes idle connections that are no good any more; it is called about
+	// once a second.
+	Sweep()
+}
+
+// Attempt is one attempt to deliver a message.
+type Attempt struct {
+	Message  *message.Message
+	Number   int // of the message's attempts, from 0
+	Endpoint logic.EndpointID
+	Addr     string
+	GiveUp   time.Duration // no answer counts after this
+	// Fragile says that a break would end the message for good, so that a
+	// connection which may break is to be avoided.
+	Fragile bool
+	// WriteBy is when the attempt must have been begun; zero for no such time.
+	WriteBy time.Time
+
+	state atomic.Int32
+}
+
+// The states of an attempt. It goes from the first to one of the others, once.
+const (
+	attemptWaiting int32 = iota
+	attemptBegun         // from here on it may have run
+	attemptHeld          // it is not to be begun
+)
+
+// Begin says whether the attempt may go out. It may not if a wait or a drain has
+// become known since it was decided on, or if it is too late for it. The
+// transport asks once, right before the first byte.
+func (a *Attempt) Begin() bool {
+	if !a.WriteBy.IsZero() && time.Now().After(a.WriteBy) {
+		a.Hold()
+	}
+	return a.state.CompareAndSwap(attemptWaiting, attemptBegun)
+}
+
+// Hold keeps the attempt from going out, and says whether that was in time.
+func (a *Attempt) Hold() bool {
+	return a.state.CompareAndSwap(attemptWaiting, attemptHeld)
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome logic.Outcome
+	Wait    time.Duration // told by a refusal
+	Over    bool          // the peer says that the message is over
+	Local   bool          // nothing was sent for want of something at this end
+}
+
+// Endpoint is one endpoint of a partner as a source names it.
+type Endpoint struct {
+	Name    string // unique, and the same for the endpoint's life
+	Addr    string // may change; empty leaves it as it is
+	Zone    string
+	Kind    string
+	Partner string
+	State   logic.Readiness
+	Weight  float64 // the partner's rate in calls a second over all senders; 0 if not told
+}
+
+// List is news of the endpoints.
+type List struct {
+	Whole     bool // what is not in it is gone; else changes only
+	Endpoints []Endpoint
+}
+
+// News is what a source has to tell.
+type News struct {
+	List List
+	Err  error // a call for the list failed, and the source has stopped asking
+	// Epoch and Version are the source's own marks of where the news came from.
+	Epoch   int
+	Version int64
+}
+
+// Source tells which endpoints there are.
+type Source interface {
+	// Watch begins to follow the endpoints, unless it does so already. News come
+	// through tell, in order, until ctx is over or one of them has an Err.
+	Watch(ctx context.Context, tell func(News))
+	// Takes says whether news that Watch has told are still good. The core asks
+	// right before it uses them.
+	Takes(n News) bool
+}
+
+// EndSink is told how messages ended.
+type EndSink interface {
+	// Add takes an end; it never waits.
+	Add(e message.End)
+	// Run passes ends on until ctx is over. It confirms those that have been
+	// heard; what is not confirmed is added again after a restart.
+	Run(ctx context.Context, confirm func(ids []string))
+}
+
+// Store keeps what must outlive the process. [store.Journal] is one.
+type Store interface {
+	Append(recs []store.Record) error
+	Room(body int) bool
+	Entry(id string) *store.Entry
+	Entries() []*store.Entry
+	Ended(id string) *store.Ended
+	Forget(now time.Time)
+	Len() int
+	Close() error
+}
--- /dev/null
+++ b/internal/core/step.go
@@ -0,0 +1,142 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/internal/store"
+	"cometrack/logic"
+)
+
+// step lets the module decide, writes the journal, and then acts, in order.
+func (c *Core) step(work context.Context) {
+	events := c.next
+	c.next = nil
+	actions := c.sender.Step(micros(time.Since(c.start)), events)
+	answers := c.answers(actions)
+	now := time.Now().UnixMicro()
+	for _, p := range c.puts {
+		id := p.msg.ID
+		if _, told := answers[id]; !told && c.fresh[id] == p.msg {
+			c.records = append(c.records, store.Record{Op: store.OpAccept,
+				Entry: &store.Entry{Message: *p.msg, Accepted: c.held[id].accepted}})
+		}
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case logic.CallOut:
+			c.records = append(c.records, store.Record{Op: store.OpSend, ID: a.ID, At: now,
+				Zone: c.dir.zone(c.dir.eps[a.Endpoint].zone)})
+		case logic.Refuse, logic.Fail:
+			end := c.endOf(a, now)
+			if _, told := answers[end.ID]; !told && c.isOwed(end.ID) {
+				c.records = append(c.records, store.Record{Op: store.OpEnd, ID: end.ID, End: &end})
+			}
+		}
+	}
+	err := c.store.Append(c.records)
+	clear(c.records)
+	c.records = c.records[:0]
+	if err != nil {
+		c.log.Error("journal", "err", err)
+	}
+	for _, p := range c.puts {
+		id := p.msg.ID
+		switch answer, told := answers[id]; {
+		case told:
+			p.answer <- answer
+		case err != nil: // not written, so not taken on
+			p.answer <- Answer{Verdict: Busy}
+			if c.fresh[id] == p.msg {
+				c.drop(id)
+				c.next = append(c.next, logic.ClientGone{ID: id})
+			}
+		default:
+			p.answer <- Answer{Verdict: Accepted, Again: c.fresh[id] != p.msg}
+		}
+	}
+	clear(c.puts)
+	c.puts = c.puts[:0]
+	clear(c.fresh)
+	for _, end := range c.tell { // nobody is told of what the journal does not say
+		c.sink.Add(end)
+	}
+	c.tell = c.tell[:0]
+	for _, a := range actions {
+		c.act(work, a, answers, now, err == nil)
+	}
+	c.tellStates()
+}
+
+// isOwed says whether the message has been taken on and is not over.
+func (c *Core) isOwed(id string) bool {
+	e := c.store.Entry(id)
+	return e != nil && e.End == nil
+}
+
+// endOf is the end that the module has decided on.
+func (c *Core) endOf(a logic.Action, now int64) message.End {
+	end := message.End{At: now}
+	switch a := a.(type) {
+	case logic.Refuse:
+		end.ID, end.State, end.AfterMS = a.ID, message.Returned, int64((a.RetryIn+999)/1000)
+	case logic.Fail:
+		end.ID, end.State = a.ID, message.Failed
+	}
+	if h := c.held[end.ID]; h != nil {
+		end.Tries = h.tries
+	}
+	return end
+}
+
+// drop forgets a message that was never taken on.
+func (c *Core) drop(id string) {
+	if h := c.held[id]; h != nil && !h.over {
+		c.open--
+		delete(c.held, id)
+	}
+}
+
+// finish takes a message off the books; the store remembers it.
+func (c *Core) finish(id string, h *held) {
+	h.over = true
+	c.open--
+	c.ended = append(c.ended, id)
+	if h.stop == nil {
+		delete(c.held, id)
+	}
+}
+
+// act carries out one word of the module.
+func (c *Core) act(work context.Context, a logic.Action, answers map[string]Answer, now int64, written bool) {
+	switch a := a.(type) {
+	case logic.CallOut:
+		c.callOut(work, a, written)
+	case logic.Cancel:
+		if h := c.held[a.ID]; h != nil && h.stop != nil && h.tries-1 == a.Attempt {
+			h.stop()
+		}
+	case logic.Refuse, logic.Fail:
+		end := c.endOf(a, now)
+		if _, told := answers[end.ID]; told {
+			c.drop(end.ID)
+			return
+		}
+		if h := c.held[end.ID]; h != nil && !h.over {
+			c.finish(end.ID, h)
+			c.sink.Add(end)
+		}
+	case logic.SetTimer:
+		c.due.Reset(span(a.Wait)) // it goes off no later than the one before
+		c.token = a.Token
+	case logic.Probe:
+		c.probe(work, a.Endpoint)
+	case logic.Release:
+		c.transport.Release(a.Endpoint)
+	case logic.Listen:
+		c.source.Watch(work, func(n News) { c.post(n) })
+	case logic.Log:
+		c.log.Info(a.Text)
+	}
+}
--- /dev/null
+++ b/internal/core/submit.go
@@ -0,0 +1,232 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/logic"
+)
+
+// Verdict says what became of a message that was handed in.
+type Verdict int
+
+// The verdicts.
+const (
+	Accepted  Verdict = iota // taken on: the sender owes it its end
+	Busy                     // turned away; handing it in again is harmless
+	Failed                   // ended at once, and not to be handed in again
+	NoPartner                // no endpoint of this partner is known
+	Conflict                 // its id belongs to another message
+	Stopped                  // the sender has stopped; not taken on
+)
+
+// Answer is the one answer to a message that was handed in.
+type Answer struct {
+	Verdict Verdict
+	After   time.Duration // Busy: when to come again; 0 if that is not told
+	Again   bool          // Accepted: the message was known already
+}
+
+// Submit hands a message in that [Core.Check] has passed. The answer comes as
+// soon as the message is journalled, or the module has given it up; answer must
+// have room for it.
+func (c *Core) Submit(m *message.Message, answer chan<- Answer) {
+	if !c.post(putEvent{m, answer}) {
+		answer <- Answer{Verdict: Stopped}
+	}
+}
+
+// known returns the digest of a message that is held or remembered.
+func (c *Core) known(id string) (digest uint64, ok bool) {
+	if h := c.held[id]; h != nil {
+		return h.msg.Digest(), true
+	}
+	if e := c.store.Entry(id); e != nil {
+		return e.Told(), true
+	}
+	if e := c.store.Ended(id); e != nil {
+		return e.Digest, true
+	}
+	return 0, false
+}
+
+// put takes a message on, subject to the module's word in the step that follows.
+func (c *Core) put(ev putEvent) {
+	m := ev.msg
+	if digest, ok := c.known(m.ID); ok {
+		switch {
+		case digest != m.Digest():
+			ev.answer <- Answer{Verdict: Conflict}
+		case c.fresh[m.ID] != nil:
+			c.puts = append(c.puts, ev) // it gets the answer of the first
+		default:
+			ev.answer <- Answer{Verdict: Accepted, Again: true}
+		}
+		return
+	}
+	if !c.dir.serves(m.Partner) {
+		if c.heard {
+			ev.answer <- Answer{Verdict: NoPartner}
+		} else { // nobody has told yet what there is
+			ev.answer <- Answer{Verdict: Busy, After: time.Second}
+		}
+		return
+	}
+	most := c.cfg.Settings.MaxOpen
+	if most > 0 && c.open >= most || !c.store.Room(len(m.Body)) {
+		ev.answer <- Answer{Verdict: Busy}
+		return
+	}
+	now := time.Now().UnixMicro()
+	c.held[m.ID] = &held{msg: m, accepted: now}
+	c.open++
+	c.puts = append(c.puts, ev)
+	c.fresh[m.ID] = m
+	c.next = append(c.next, c.callOf(m, now))
+}
+
+// answers finds the messages that the module ends in the step in which they came:
+// their clients are told at once.
+func (c *Core) answers(actions []logic.Action) map[string]Answer {
+	var out map[string]Answer
+	tell := func(id string, a Answer) {
+		if c.fresh[id] != nil {
+			if out == nil {
+				out = map[string]Answer{}
+			}
+			out[id] = a
+		}
+	}
+	if len(c.fresh) == 0 {
+		return nil
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case logic.Refuse:
+			tell(a.ID, Answer{Verdict: Busy, After: span(a.RetryIn)})
+		case logic.Fail:
+			tell(a.ID, Answer{Verdict: Failed})
+		}
+	}
+	return out
+}
+
+// The states of a message that is not over. One that is over has a state of
+// package message.
+const (
+	StateAccepted = "accepted" // taken on; no attempt is out
+	StateSending  = "sending"  // an attempt is out
+)
+
+// State is what the sender knows of a message.
+type State struct {
+	ID       string
+	Name     string // empty if nothing is known of it
+	Tenant   string
+	Partner  string
+	Class    string
+	Tries    int
+	After    time.Duration // returned: when to come again; 0 if not told
+	Accepted time.Time     // zero if not known
+	Deadline time.Time     // zero once it is over
+	Over     time.Time     // zero while it is not
+}
+
+// IsOver says whether the message has had its end, or nothing is known of it.
+func (s *State) IsOver() bool { return s.Name != StateAccepted && s.Name != StateSending }
+
+// ErrStopped says that the sender has stopped.
+var ErrStopped = errors.New("the sender has stopped")
+
+// State tells the state of a message. With wait it waits until the message is
+// over or ctx is; in the latter case it tells the state then, without an error.
+func (c *Core) State(ctx context.Context, id string, wait bool) (State, error) {
+	ask := stateEvent{id: id, watch: wait, answer: make(chan State, 1)}
+	if !c.post(ask) {
+		return State{}, ErrStopped
+	}
+	var over <-chan struct{}
+	if wait {
+		over = ctx.Done()
+	}
+	select {
+	case s := <-ask.answer:
+		return s, nil
+	case <-c.done:
+		return State{}, ErrStopped
+	case <-over:
+		c.post(unwatchEvent{id, ask.answer})
+		return c.State(context.Background(), id, false)
+	}
+}
+
+// state is what is known now, between steps.
+func (c *Core) state(id string) State {
+	if h := c.held[id]; h != nil && !h.over {
+		s := State{ID: id, Name: StateAccepted, Tenant: h.msg.Tenant, Partner: h.msg.Partner, Class: h.msg.Class,
+			Tries: h.tries, Accepted: at(h.accepted), Deadline: at(h.msg.Deadline)}
+		if h.attempt != nil {
+			s.Name = StateSending
+		}
+		return s
+	}
+	if e := c.store.Entry(id); e != nil && e.End != nil {
+		return State{ID: id, Name: e.End.State, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, Tries: e.Tries,
+			After: time.Duration(e.End.AfterMS) * time.Millisecond, Accepted: at(e.Accepted), Over: at(e.End.At)}
+	}
+	if e := c.store.Ended(id); e != nil {
+		return State{ID: id, Name: e.State, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, Tries: e.Tries,
+			After: time.Duration(e.AfterMS) * time.Millisecond, Accepted: at(e.Accepted), Over: at(e.Over)}
+	}
+	return State{ID: id}
+}
+
+// at is a time of the journal; zero for none.
+func at(us int64) time.Time {
+	if us == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(us)
+}
+
+// tellStates answers those who ask, and those who wait for what has ended.
+func (c *Core) tellStates() {
+	for _, id := range c.ended {
+		if list := c.watchers[id]; list != nil {
+			s := c.state(id)
+			for _, w := range list {
+				w <- s
+			}
+			delete(c.watchers, id)
+		}
+	}
+	c.ended = c.ended[:0]
+	for _, ask := range c.asks {
+		s := c.state(ask.id)
+		if ask.watch && !s.IsOver() {
+			c.watchers[ask.id] = append(c.watchers[ask.id], ask.answer)
+			continue
+		}
+		ask.answer <- s
+	}
+	clear(c.asks)
+	c.asks = c.asks[:0]
+}
+
+// unwatch forgets one who waited.
+func (c *Core) unwatch(ev unwatchEvent) {
+	list := c.watchers[ev.id]
+	for i, w := range list {
+		if w == ev.answer {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(c.watchers, ev.id)
+	} else {
+		c.watchers[ev.id] = list
+	}
+}
--- /dev/null
+++ b/internal/daemon/clients_test.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"cometrack/internal/source/platform"
+	"cometrack/internal/standin/byhand"
+)
+
+// ended reads until the sender closes the connection.
+func (c *client) ended() string {
+	c.t.Helper()
+	b, err := io.ReadAll(c.r)
+	if byhand.IsTimeout(err) {
+		c.t.Fatal("the connection stays open")
+	}
+	return string(b)
+}
+
+// A client that says nothing, or half a request, would keep its place for good.
+func TestSilentClients(t *testing.T) {
+	n, _, _, _ := world(t, 1)
+	for name, said := range map[string]string{"nothing": "", "half a length": "*5", "half a request": "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			at, c := time.Now(), dial(t, n.addr)
+			io.WriteString(c.Conn, said)
+			got := c.ended()
+			if d := time.Since(at); d < 2*time.Second || d > 3*time.Second {
+				t.Errorf("closed after %v", d)
+			}
+			if said != "" && !strings.HasPrefix(got, "-ERR ") {
+				t.Errorf("got %q", got)
+			}
+		})
+	}
+}
+
+// Hundreds of requests at once are answered each, in order, and not at one a tick.
+func TestPipelined(t *testing.T) {
+	n, c, _, e := world(t, 1)
+	go func() {
+		for in := range e[0].Calls {
+			in.Reply(200)
+		}
+	}()
+	const many = 300
+	var b strings.Builder
+	for i := range many {
+		switch {
+		case i%100 == 0:
+			id := fmt.Sprint("m-", i)
+			fmt.Fprintf(&b, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$20\r\nc=safe,d=9000,dest=1\r\n$1\r\nx\r\n", len(id), id)
+		default:
+			fmt.Fprintf(&b, "*2\r\n$4\r\nPING\r\n$3\r\n%03d\r\n", i)
+		}
+	}
+	go io.WriteString(c.Conn, b.String())
+	for i := range many {
+		if got := c.line(); i%100 == 0 {
+			if got != "+OK" {
+				t.Errorf("answer %d: %q", i, got)
+			}
+		} else if body := c.line(); got != "$3" || body != fmt.Sprintf("%03d", i) {
+			t.Fatalf("answer %d: %q %q", i, got, body)
+		}
+	}
+	stopClean(t, n)
+}
+
+// A client that sends at full speed what can't be read gets its error line all the same: a close with unread input
+// would destroy it.
+func TestErrorLineOutlivesClose(t *testing.T) {
+	n, _, _, _ := world(t, 1)
+	c := dial(t, n.addr)
+	io.WriteString(c.Conn, "*5\r\n$7\r\nMSG.PUT\r\n$60000000\r\n"+strings.Repeat("x", 500<<10))
+	if got := c.ended(); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("got %q", got)
+	}
+}
+
+// The same again and again is turned away for good.
+func TestErrorsInARow(t *testing.T) {
+	n, c, _, _ := world(t, 1)
+	go func() {
+		for {
+			if _, err := io.WriteString(c.Conn, "*1\r\n$3\r\nBAD\r\n"); err != nil {
+				return
+			}
+		}
+	}()
+	got := c.ended()
+	if k := strings.Count(got, "-ERR unknown command"); k < 16 || k > 32 {
+		t.Errorf("%d errors before the close", k)
+	}
+	stopClean(t, n)
+}
+
+// A start with an empty list: nobody knows what there is, so clients are asked to come again; once discovery has
+// told, an unknown destination is an error.
+func TestUnknownDestination(t *testing.T) {
+	p, e := newPlatform(t), byhand.NewEndpoint(t)
+	p.silent = true
+	n := startNode(t, p, t.TempDir(), platform.List{})
+	c := dial(t, n.addr)
+	c.put("a", "safe", "-BUSY 1000")
+	p.set(func() { p.silent, p.list = false, platform.List{Generation: 1, Reset: true, Instances: instances(e)} })
+	taken(t, p, 1)
+	c.put("b", "safe", "+OK")
+	byhand.Await(t, e.Calls, "call").Reply(200)
+	if got := c.do("MSG.PUT", "0", "c", "c=safe,d=9000,dest=2", "x"); got != "-ERR unknown destination" {
+		t.Errorf("got %q", got)
+	}
+	stopClean(t, n)
+}
+
+// Clients' connections and calls together stay within the descriptors; a call without one left says nothing of the
+// endpoint, and an idle connection makes room.
+func TestShares(t *testing.T) {
+	for sockets := 128; sockets <= 4096; sockets *= 2 {
+		for _, slots := range []int{0, 6, 60, 300} {
+			s := shareOut(sockets, slots)
+			if s.clients+s.calls+otherSockets > sockets || s.idle > s.calls || s.clients*3 < sockets-otherSockets {
+				t.Errorf("%d sockets, %d slots: %+v", sockets, slots, s)
+			}
+		}
+	}
+}
--- a/internal/node/limits.go
+++ b/internal/daemon/limits.go
@@ -1,4 +1,4 @@
-package node
+package daemon
 
 // The process's descriptors are shared out at the start, so that no side can take
 // those that another needs.
@@ -18,14 +18,13 @@
 
 // shareOut gives calls what the slots can use, and some to keep, and the rest to clients;
 // clients need a third for requests, and as much again as room for those that say nothing.
-func shareOut(cfg *Config) shares {
-	sockets := cfg.Limits.Sockets
+func shareOut(sockets, slots int) shares {
 	if sockets <= 0 {
 		sockets = defaultSockets
 	}
 	rest := max(sockets-otherSockets, 16)
 	clients := rest / 2
-	if need := cfg.Deploy.Settings.Slots + lingering; rest-clients < need {
+	if need := slots + lingering; rest-clients < need {
 		clients = max(rest-need, rest*2/5)
 	}
 	calls := rest - clients
--- /dev/null
+++ b/internal/daemon/platform.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"cometrack/internal/config"
+	"cometrack/internal/core"
+	"cometrack/internal/front/resp"
+	"cometrack/internal/sink/notices"
+	"cometrack/internal/source/platform"
+	"cometrack/internal/store"
+	httptransport "cometrack/internal/transport/http"
+	"cometrack/logic"
+)
+
+const (
+	largeShare    = 8     // the part of the memory that large requests may take until they are answered
+	defaultMemory = 192   // MB
+	mostEnded     = 16384 // ends that are remembered until the message's own time is up
+)
+
+// Platform is a sender as the platform runs it: RESP2 in, HTTP out, the list of
+// endpoints from discovery, ends told by notices.
+type Platform struct {
+	core   *core.Core
+	front  *resp.Front
+	source *platform.Source
+	sink   *notices.Sink
+	log    *slog.Logger
+}
+
+// NewPlatform makes a sender and replays its journal.
+func NewPlatform(cfg *config.Platform, log *slog.Logger) (*Platform, error) {
+	set := cfg.Deploy.Settings
+	journal, err := store.Open(cfg.StateDir, store.Options{Disk: int64(cfg.Limits.DiskMB * 1e6), MostEnded: mostEnded})
+	if err != nil {
+		return nil, err
+	}
+	share := shareOut(cfg.Limits.Sockets, set.Slots)
+	p := &Platform{log: log, source: platform.New(cfg.Discovery, cfg.Known, log), sink: notices.New(cfg.Discovery, log)}
+	conf := core.Config{Name: cfg.Name, Settings: set, Seed: cfg.Seed, Zones: cfg.Deploy.Zones}
+	if cfg.Known.Generation != 0 || len(cfg.Known.Instances) > 0 {
+		known := cfg.Known.List()
+		known.Whole = true
+		conf.Known = &known
+	}
+	p.core, err = core.New(conf, core.Parts{Store: journal, Source: p.source, Sink: p.sink, Log: log,
+		Transport: httptransport.New(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle),
+			httptransport.Limits{Open: share.calls, Idle: share.idle, PerEndpoint: set.Slots})})
+	if err != nil {
+		journal.Close()
+		return nil, err
+	}
+	memory := cfg.Limits.MemoryMB
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	p.front = resp.New(p.core, resp.Options{Listen: cfg.Listen, Connections: share.clients,
+		Memory: int64(memory * (1 << 20) / largeShare), Numbers: true, Log: log})
+	return p, nil
+}
+
+func span(t logic.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
+
+// Run serves until ctx is cancelled, then shuts down in good order. At each signal
+// the configuration is read anew with load: discovery and notices move to the
+// address that it names; the rest is for the next start.
+func (p *Platform) Run(ctx context.Context, reload <-chan os.Signal, load func() (*config.Platform, error)) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go p.reloads(work, reload, load)
+	return p.core.Run(ctx, p.front)
+}
+
+// reloads follows new configurations. One that can't be read changes nothing.
+func (p *Platform) reloads(ctx context.Context, signals <-chan os.Signal, load func() (*config.Platform, error)) {
+	select { // the listener's address is known, and the journal replayed
+	case <-p.core.Ready():
+	case <-ctx.Done():
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		cfg, err := load()
+		if err != nil {
+			p.log.Error("reload: the old configuration stands", "err", err)
+			continue
+		}
+		p.sink.Move(cfg.Discovery)
+		if p.source.Move(cfg.Discovery) {
+			p.log.Info("reload: discovery moves", "to", cfg.Discovery)
+		} else {
+			p.log.Info("reload: same discovery", "addr", cfg.Discovery)
+		}
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/front/resp/clients.go
@@ -1,4 +1,4 @@
-package node
+package resp
 
 import (
 	"context"
@@ -6,32 +6,46 @@
 	"log/slog"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"cometrack/internal/core"
+	"cometrack/internal/message"
 )
 
 const (
-	acceptPause   = 5 * time.Millisecond
-	maxPipelined  = 16 // requests of one connection that wait for their answers
-	smallRequest  = 4 << 10
-	largeRequest  = maxBulk + smallRequest
-	largeShare    = 8 // the part of the memory that large requests may take until they are answered
-	defaultMemory = 192
+	acceptPause  = 5 * time.Millisecond
+	maxPipelined = 16 // requests of one connection that wait for their answers
+	smallRequest = 4 << 10
+	largeRequest = message.MaxBody + smallRequest
 )
 
-// putEvent is a message that a client hands in. The loop sends its one answer.
-type putEvent struct {
-	msg    Message
-	answer chan<- string
+// Core is what the front hands requests to. [core.Core] is one.
+type Core interface {
+	Check(m *message.Message, hold time.Duration) error
+	Submit(m *message.Message, answer chan<- core.Answer)
+	State(ctx context.Context, id string, wait bool) (core.State, error)
+}
+
+// Options set a front up.
+type Options struct {
+	Listen      string // address
+	Connections int    // at once; the idlest makes room for a new one
+	Memory      int64  // bytes that large requests may hold until they are answered
+	// Numbers says that partners are named by numbers, as on the platform.
+	Numbers bool
+	// Tenant returns the tenant that a token stands for. If it is nil, anybody may
+	// submit for any tenant.
+	Tenant func(token string) (tenant string, ok bool)
+	Log    *slog.Logger
 }
 
-// clients serves the RESP2 side: it accepts connections within the process's means
+// Front serves the RESP2 side: it accepts connections within the process's means
 // and closes the idlest to make room for new ones.
-type clients struct {
-	cfg      *Config
+type Front struct {
+	core     Core
+	opts     Options
 	log      *slog.Logger
-	events   chan<- any
-	most     int           // connections
+	ln       net.Listener
 	large    chan struct{} // a place for each large request that is not answered
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -39,17 +53,27 @@
 	wg       sync.WaitGroup
 }
 
-func newClients(cfg *Config, log *slog.Logger, events chan<- any) *clients {
-	memory := cfg.Limits.MemoryMB
-	if memory <= 0 {
-		memory = defaultMemory
-	}
-	return &clients{cfg: cfg, log: log, events: events, most: shareOut(cfg).clients, sessions: map[*session]struct{}{},
-		large: make(chan struct{}, max(int(memory*(1<<20)/largeShare/largeRequest), 8))}
+// New makes a front for a core.
+func New(c Core, opts Options) *Front {
+	return &Front{core: c, opts: opts, log: opts.Log, sessions: map[*session]struct{}{},
+		large: make(chan struct{}, max(int(opts.Memory/largeRequest), 8))}
+}
+
+// Listen opens the listener.
+func (c *Front) Listen() (err error) {
+	c.ln, err = net.Listen("tcp", c.opts.Listen)
+	return err
 }
 
-// serve accepts connections until the listener is closed.
-func (c *clients) serve(ln net.Listener) {
+// Addr is where the front listens.
+func (c *Front) Addr() net.Addr { return c.ln.Addr() }
+
+// CloseListener ends the taking of new clients.
+func (c *Front) CloseListener() { c.ln.Close() }
+
+// Serve accepts connections until the listener is closed.
+func (c *Front) Serve() {
+	ln := c.ln
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -79,14 +103,14 @@
 
 // admit takes a connection on. When all places are taken, the idlest one without a
 // request under way goes; if there is none, the new one does.
-func (c *clients) admit(s *session) bool {
+func (c *Front) admit(s *session) bool {
 	for {
 		c.mu.Lock()
 		if c.closing {
 			c.mu.Unlock()
 			return false
 		}
-		if len(c.sessions) < c.most {
+		if len(c.sessions) < c.opts.Connections {
 			c.sessions[s] = struct{}{}
 			c.wg.Add(1)
 			c.mu.Unlock()
@@ -100,7 +124,7 @@
 }
 
 // evict closes the idlest connection; false if a request is under way on each.
-func (c *clients) evict() bool {
+func (c *Front) evict() bool {
 	c.mu.Lock()
 	var idlest *session
 	for s := range c.sessions {
@@ -120,15 +144,15 @@
 	return true
 }
 
-func (c *clients) remove(s *session) {
+func (c *Front) remove(s *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.sessions, s)
 }
 
-// shutdown closes each connection once no request is under way on it, and returns
+// Shutdown closes each connection once no request is under way on it, and returns
 // when all are closed or ctx is over.
-func (c *clients) shutdown(ctx context.Context) {
+func (c *Front) Shutdown(ctx context.Context) {
 	c.mu.Lock()
 	c.closing = true
 	for s := range c.sessions {
@@ -147,28 +171,8 @@
 	}
 }
 
-func (c *clients) isClosing() bool {
+func (c *Front) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closing
 }
-
-// peek looks at a connection without reading or waiting: whether the peer has it
-// open still, and whether something has come.
-func peek(conn net.Conn) (alive, data bool) {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false, false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false, false
-	}
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		data = n > 0
-		alive = data || errors.Is(err, syscall.EAGAIN)
-	})
-	return alive && err == nil, data
-}
--- /dev/null
+++ b/internal/front/resp/front_test.go
@@ -0,0 +1,302 @@
+package resp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cometrack/internal/core"
+	"cometrack/internal/message"
+	"cometrack/internal/netutil"
+)
+
+const patience = 20 * time.Second
+
+// yes takes every message on.
+type yes struct{}
+
+func (yes) Check(*message.Message, time.Duration) error { return nil }
+
+func (yes) Submit(_ *message.Message, answer chan<- core.Answer) { answer <- core.Answer{} }
+
+func (yes) State(_ context.Context, id string, _ bool) (core.State, error) {
+	if id == "known" {
+		return core.State{ID: id, Name: message.Returned, Tenant: "acme", Partner: "p", Class: "c", Tries: 2,
+			After: 1500 * time.Millisecond, Over: time.UnixMilli(1)}, nil
+	}
+	return core.State{ID: id}, nil
+}
+
+// serve starts a front for yes.
+func serve(t *testing.T, opts Options) *Front {
+	t.Helper()
+	opts.Listen, opts.Log = "127.0.0.1:0", slog.New(slog.DiscardHandler)
+	if opts.Connections == 0 {
+		opts.Connections = 100
+	}
+	f := New(yes{}, opts)
+	if err := f.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.CloseListener)
+	go f.Serve()
+	return f
+}
+
+// client is a client's connection.
+type client struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func dial(t *testing.T, f *Front) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return &client{t, conn, bufio.NewReader(conn)}
+}
+
+func (c *client) line() string {
+	c.t.Helper()
+	s, err := c.r.ReadString('\n')
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.t.Fatal("no answer")
+	}
+	return strings.TrimRight(s, "\r\n")
+}
+
+func (c *client) do(args ...string) string {
+	c.t.Helper()
+	fmt.Fprintf(c.conn, "*%d\r\n", len(args))
+	for _, a := range args {
+		fmt.Fprintf(c.conn, "$%d\r\n%s\r\n", len(a), a)
+	}
+	return c.line()
+}
+
+// ended reads until the front closes the connection.
+func (c *client) ended() string {
+	c.t.Helper()
+	b, err := io.ReadAll(c.r)
+	var n net.Error
+	if errors.As(err, &n) && n.Timeout() {
+		c.t.Fatal("the connection stays open")
+	}
+	return string(b)
+}
+
+// Connections that asked once and stay must not keep new clients out: the idlest makes room. One with a request
+// under way never does.
+func TestFullOfClients(t *testing.T) {
+	f := serve(t, Options{Connections: 3})
+	first, second, half := dial(t, f), dial(t, f), dial(t, f)
+	for _, c := range []*client{first, second} {
+		if got := c.do("PING"); got != "+PONG" {
+			t.Fatal(got)
+		}
+	}
+	io.WriteString(half.conn, "*1\r\n$4\r\nPI")
+	for stop := time.Now().Add(patience); ; { // until the front has it
+		f.mu.Lock()
+		begun := 0
+		for s := range f.sessions {
+			begun += s.open
+		}
+		f.mu.Unlock()
+		if begun == 1 {
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatal("the request does not come")
+		}
+	}
+	fourth := dial(t, f)
+	if got := fourth.do("PING"); got != "+PONG" {
+		t.Errorf("a new client gets %q", got)
+	}
+	if got := first.ended(); got != "" {
+		t.Errorf("the idlest got %q", got)
+	}
+	if got := second.do("PING"); got != "+PONG" {
+		t.Errorf("one that is less idle gets %q", got)
+	}
+	io.WriteString(half.conn, "NG\r\n")
+	if got := half.line(); got != "+PONG" {
+		t.Errorf("a request under way gets %q", got)
+	}
+}
+
+// What large requests hold is bounded over all connections.
+func TestLargeRequestsBounded(t *testing.T) {
+	f := serve(t, Options{})
+	for range cap(f.large) {
+		f.large <- struct{}{}
+	}
+	if got := dial(t, f).do("PING", strings.Repeat("x", 2*smallRequest)); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("got %q", got)
+	}
+	for range cap(f.large) {
+		<-f.large
+	}
+	for range 2 * cap(f.large) { // each gives its place back
+		d := dial(t, f)
+		if got := d.do("MSG.PUT", "0", "id", "c=safe,d=9000,dest=99", strings.Repeat("x", maxBulk)); got != "+OK" {
+			t.Fatalf("got %q", got)
+		}
+		d.conn.Close()
+	}
+	for stop := time.Now().Add(patience); len(f.large) > 0; {
+		if time.Now().After(stop) {
+			t.Fatalf("%d places are not given back", len(f.large))
+		}
+	}
+}
+
+// A request that came just before the sender closes its connections is answered: its client counts on that.
+func TestRequestCrossesShutdown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	f := New(yes{}, Options{Log: slog.New(slog.DiscardHandler)})
+	f.ln, f.closing = ln, true
+	c := dial(t, f)
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(c.conn, "*1\r\n$4\r\nPING\r\n")
+	for stop := time.Now().Add(patience); ; {
+		if _, data := netutil.Peek(conn); data {
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatal("the request does not come")
+		}
+	}
+	(&session{c: f, conn: conn, opened: time.Now()}).handle()
+	conn.Close()
+	if got := c.line(); got != "+PONG" {
+		t.Errorf("got %q", got)
+	}
+	if got := c.line(); got != "" {
+		t.Errorf("the connection goes on with %q", got)
+	}
+}
+
+func FuzzReadCommand(f *testing.F) {
+	f.Add("*1\r\n$4\r\nPING\r\n")
+	f.Add("*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$1\r\na\r\n$20\r\nc=safe,d=9000,dest=1\r\n$3\r\n\r\n\x00\r\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		args, err := readCommand(bufio.NewReader(strings.NewReader(in)), func() error { return errNoPlace })
+		sum := 0
+		for _, a := range args {
+			sum += len(a)
+		}
+		if sum > smallRequest || err == nil && len(args) == 0 {
+			t.Errorf("%q: %d arguments, %d bytes", in, len(args), sum)
+		}
+		if err != nil && !errors.Is(err, errProtocol) && !errors.Is(err, errNoPlace) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%q: %v", in, err)
+		}
+	})
+}
+
+// Client libraries greet a server before they use it: what they send must not end their connection.
+func TestGreetings(t *testing.T) {
+	c := dial(t, serve(t, Options{}))
+	for _, x := range [][]string{{"-NOPROTO", "HELLO", "3"}, {"-NOPROTO", "HELLO", "3", "SETNAME", "x"}, {"+OK", "CLIENT", "SETINFO", "LIB-NAME", "x"},
+		{"+OK", "CLIENT", "SETNAME", "x"}, {"$-1", "CLIENT", "GETNAME"}, {"-ERR", "CLIENT", "KILL"}, {"-ERR", "CLIENT"}, {"*0", "COMMAND", "DOCS"},
+		{"+OK", "SELECT", "0"}, {"-ERR", "SELECT", "1"}, {"-ERR", "AUTH", "x"}, {"-ERR", "HELLO", "2", "AUTH", "x"}, {"+OK", "QUIT"}} {
+		if got := c.do(x[1:]...); !strings.HasPrefix(got, x[0]) {
+			t.Errorf("%q: got %q", x[1:], got)
+		}
+	}
+	if rest := c.ended(); rest != "" {
+		t.Errorf("after QUIT: %q", rest)
+	}
+}
+
+// The state of a message as names and values; nothing for one that is not known.
+func TestState(t *testing.T) {
+	c := dial(t, serve(t, Options{}))
+	if got := c.do("MSG.STATE", "other"); got != "*0" {
+		t.Errorf("got %q", got)
+	}
+	if got := c.do("MSG.STATE"); !strings.HasPrefix(got, "-ERR") {
+		t.Errorf("got %q", got)
+	}
+	if got := c.do("MSG.STATE", "known"); got != "*12" {
+		t.Fatalf("got %q", got)
+	}
+	said := map[string]string{}
+	for range 6 {
+		var pair [2]string
+		for i := range pair {
+			c.line()
+			pair[i] = c.line()
+		}
+		said[pair[0]] = pair[1]
+	}
+	if said["state"] != "returned" || said["after_ms"] != "1500" || said["tries"] != "2" || said["over"] != "1970-01-01T00:00:00.001Z" {
+		t.Errorf("said %q", said)
+	}
+}
+
+// A token is its tenant's: nobody submits without one, for another, or reads another's messages.
+func TestTokens(t *testing.T) {
+	f := serve(t, Options{Tenant: func(token string) (string, bool) { return token[1:], token[0] == '!' }})
+	put := func(c *client, tenant string) string {
+		return c.do("MSG.PUT", "0", "a", "c=safe,d=9000,dest=p"+tenant, "x")
+	}
+	c := dial(t, f)
+	for _, x := range []string{put(c, ""), c.do("MSG.STATE", "known")} {
+		if !strings.HasPrefix(x, "-NOAUTH") {
+			t.Errorf("without a token: %q", x)
+		}
+	}
+	if got := c.do("AUTH", "?acme"); !strings.HasPrefix(got, "-WRONGPASS") {
+		t.Errorf("got %q", got)
+	}
+	if got := c.do("AUTH", "!acme"); got != "+OK" {
+		t.Errorf("got %q", got)
+	}
+	if got := put(c, ""); got != "+OK" {
+		t.Errorf("got %q", got)
+	}
+	if got := put(c, ",t=acme"); got != "+OK" {
+		t.Errorf("got %q", got)
+	}
+	if got := put(c, ",t=other"); !strings.HasPrefix(got, "-ERR") {
+		t.Errorf("for another tenant: %q", got)
+	}
+	if got := c.do("MSG.STATE", "known"); got != "*12" {
+		t.Errorf("its own: %q", got)
+	}
+	d := dial(t, f)
+	if got := d.do("HELLO", "2", "AUTH", "default", "!other"); got != "*6" {
+		t.Errorf("got %q", got)
+	}
+	for range 11 { // the rest of that answer
+		if d.line() == "master" {
+			break
+		}
+	}
+	if got := d.do("MSG.STATE", "known"); got != "*0" {
+		t.Errorf("another's: %q", got)
+	}
+}
--- a/internal/node/resp.go
+++ b/internal/front/resp/resp.go
@@ -1,4 +1,4 @@
-package node
+package resp
 
 import (
 	"bufio"
@@ -6,13 +6,15 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"cometrack/internal/message"
 )
 
 // Bounds of a request. A longer one is a protocol error.
 const (
 	maxArgs = 16
-	maxBulk = 64 << 10 // body
-	maxLine = 64       // length lines
+	maxBulk = message.MaxBody
+	maxLine = 64 // length lines
 )
 
 // errProtocol marks what is not a RESP2 request; the connection cannot go on.
--- a/internal/node/resp_test.go
+++ b/internal/front/resp/resp_test.go
@@ -1,4 +1,4 @@
-package node
+package resp
 
 import (
 	"bufio"
--- a/internal/node/session.go
+++ b/internal/front/resp/session.go
@@ -1,4 +1,4 @@
-package node
+package resp
 
 import (
 	"bufio"
@@ -10,6 +10,9 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"cometrack/internal/core"
+	"cometrack/internal/netutil"
 )
 
 const (
@@ -23,9 +26,6 @@
 	lingerClient = 500 * time.Millisecond // after an error, for the client to read it
 	lingerBytes  = 1 << 20
 
-	answerOK      = "+OK\r\n"
-	answerFailed  = "-ERR failed\r\n"
-	answerUnknown = "-ERR unknown destination\r\n"
 	answerTimeout = "-ERR request not complete in time\r\n"
 	answerTooMany = "-ERR too many errors\r\n"
 )
@@ -33,22 +33,27 @@
 // session is one client's connection. Requests may be pipelined: a reader hands
 // them on as they come, a writer answers them in their order.
 type session struct {
-	c      *clients
+	c      *Front
 	conn   net.Conn
 	opened time.Time
 	errors atomic.Int32 // in a row
 
-	// Under the lock of clients.
+	// Under the lock of the front.
 	open  int       // requests that have begun to come and are not answered
 	since time.Time // when the last one was answered
 	gone  bool      // closed to make room
+
+	tenant string // that its token stands for
+	authed bool   // it has shown a token
 }
 
 // answer is the answer to a request: at once, or as soon as it is there.
 type answer struct {
 	line  string
-	later <-chan string
-	large bool // the request holds a place among the large ones
+	later <-chan core.Answer
+	ask   func() string // gives the answer when its turn has come
+	large bool          // the request holds a place among the large ones
+	last  bool          // the connection ends after it
 }
 
 func (s *session) handle() {
@@ -87,16 +92,19 @@
 		})
 		switch {
 		case err == nil:
-			a := s.c.answer(args)
+			a := s.answer(args)
 			a.large = large
 			queue <- a
+			if a.last {
+				return true
+			}
 			first = false
 			continue
 		case errors.Is(err, errProtocol):
 			queue <- answer{line: fmt.Sprintf("-ERR %v\r\n", err), large: large}
 			return true
 		case errors.Is(err, errNoPlace):
-			queue <- answer{line: busy(0)}
+			queue <- answer{line: busyLine(0)}
 			return true
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			queue <- answer{line: answerTimeout, large: large}
@@ -152,7 +160,7 @@
 		_, err := r.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) && s.c.isClosing() {
 			// A request may have come just before: it is answered, for its client counts on that.
-			if alive, data := peek(s.conn); !alive || !data {
+			if alive, data := netutil.Peek(s.conn); !alive || !data {
 				return false
 			}
 			s.deadline(lastRequest, lastRequest)
@@ -176,12 +184,16 @@
 		line := a.line
 		if a.later != nil {
 			select {
-			case line = <-a.later:
+			case x := <-a.later:
+				line = lineOf(x)
 			default: // what is ready must not wait for what is not
 				err = errors.Join(err, s.flush(w))
-				line = <-a.later
+				line = lineOf(<-a.later)
 			}
 		}
+		if a.ask != nil {
+			line = a.ask()
+		}
 		if a.large {
 			<-s.c.large
 		}
@@ -228,26 +240,3 @@
 	s.deadline(lingerClient, lastRequest)
 	io.Copy(io.Discard, io.LimitReader(s.conn, lingerBytes))
 }
-
-// answer carries a request out.
-func (c *clients) answer(args [][]byte) answer {
-	switch cmd := strings.ToUpper(string(args[0])); cmd {
-	case "PING":
-		switch {
-		case len(args) == 1:
-			return answer{line: "+PONG\r\n"}
-		case len(args) == 2 && len(args[1]) <= smallRequest:
-			return answer{line: fmt.Sprintf("$%d\r\n%s\r\n", len(args[1]), args[1])}
-		}
-		return answer{line: "-ERR PING takes one short argument at most\r\n"}
-	case "MSG.PUT":
-		msg, err := c.parsePut(args[1:], time.Now())
-		if err != nil {
-			return answer{line: "-ERR " + err.Error() + "\r\n"}
-		}
-		later := make(chan string, 1)
-		c.events <- putEvent{msg, later}
-		return answer{later: later}
-	}
-	return answer{line: "-ERR unknown command\r\n"}
-}
--- /dev/null
+++ b/internal/netutil/peek.go
@@ -0,0 +1,28 @@
+// Package netutil looks at connections in ways that package net does not offer.
+package netutil
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// Peek looks at a connection without reading or waiting: whether the peer has it
+// open still, and whether something has come.
+func Peek(conn net.Conn) (alive, data bool) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		data = n > 0
+		alive = data || errors.Is(err, syscall.EAGAIN)
+	})
+	return alive && err == nil, data
+}
--- a/internal/node/notices.go
+++ b/internal/sink/notices/notices.go
@@ -1,4 +1,4 @@
-package node
+package notices
 
 import (
 	"bytes"
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cometrack/internal/message"
 )
 
 const (
@@ -20,32 +22,36 @@
 	noticeBatch = 256
 )
 
-// noticedEvent says that the platform has heard of these ends.
-type noticedEvent struct{ ids []string }
+// line is what the platform reads.
+type line struct {
+	ID      string `json:"id"`
+	State   string `json:"state"` // failed or returned
+	AfterMS int64  `json:"after_ms,omitempty"`
+}
 
-// notices tells the platform how messages ended, until it has heard.
-type notices struct {
+// Sink tells the platform how messages ended, until it has heard.
+type Sink struct {
 	client *http.Client
 	log    *slog.Logger
-	events chan<- any
 	wake   chan struct{}
 	mu     sync.Mutex
-	queue  []Notice
+	queue  []line
 	url    string
 	stop   context.CancelFunc // of the post that is out
 }
 
-func newNotices(addr string, log *slog.Logger, events chan<- any) *notices {
-	return &notices{url: noticeURL(addr), log: log, events: events, wake: make(chan struct{}, 1),
+// New makes a sink that posts to addr.
+func New(addr string, log *slog.Logger) *Sink {
+	return &Sink{url: noticeURL(addr), log: log, wake: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: noticeTime}).DialContext,
 			MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, IdleConnTimeout: 5 * time.Second}}}
 }
 
-// add queues a notice; it never waits.
-func (n *notices) add(x Notice) {
+// Add queues a notice; it never waits.
+func (n *Sink) Add(e message.End) {
 	n.mu.Lock()
-	n.queue = append(n.queue, x)
+	n.queue = append(n.queue, line{e.ID, e.State, e.AfterMS})
 	n.mu.Unlock()
 	select {
 	case n.wake <- struct{}{}:
@@ -53,9 +59,13 @@
 	}
 }
 
-// move turns to another address. What the old one has not confirmed goes to the new one at once.
-func (n *notices) move(addr string) {
+// Move turns to another address. What the old one has not confirmed goes to the new one at once.
+func (n *Sink) Move(addr string) {
 	n.mu.Lock()
+	if n.url == noticeURL(addr) {
+		n.mu.Unlock()
+		return
+	}
 	n.url = noticeURL(addr)
 	if n.stop != nil {
 		n.stop()
@@ -66,14 +76,14 @@
 
 func noticeURL(addr string) string { return "http://" + addr + "/v1/outcomes" }
 
-func (n *notices) address() string {
+func (n *Sink) address() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.url
 }
 
-// run sends what waits, as one batch at a time.
-func (n *notices) run(ctx context.Context) {
+// Run sends what waits, as one batch at a time.
+func (n *Sink) Run(ctx context.Context, confirm func(ids []string)) {
 	for {
 		batch := n.more(nil)
 		if len(batch) == 0 {
@@ -88,7 +98,7 @@
 			url := n.address()
 			status, err := n.post(ctx, batch)
 			if err == nil && status == http.StatusNoContent {
-				n.heard(batch)
+				confirm(idsOf(batch))
 				break
 			}
 			if ctx.Err() != nil {
@@ -101,7 +111,7 @@
 			n.log.Warn("notice", "lines", len(batch), "status", status, "err", err)
 			if status == http.StatusBadRequest {
 				// It will never be read as it is: one line that is at fault must not hold up the others.
-				if n.oneByOne(ctx, batch) {
+				if n.oneByOne(ctx, batch, confirm) {
 					break
 				}
 			}
@@ -116,9 +126,9 @@
 }
 
 // oneByOne sends the lines of a batch that can't be read singly and gives up those that are at fault.
-func (n *notices) oneByOne(ctx context.Context, batch []Notice) bool {
+func (n *Sink) oneByOne(ctx context.Context, batch []line, confirm func(ids []string)) bool {
 	for _, x := range batch {
-		status, err := n.post(ctx, []Notice{x})
+		status, err := n.post(ctx, []line{x})
 		if err != nil || status != http.StatusNoContent && status != http.StatusBadRequest {
 			return false
 		}
@@ -126,20 +136,20 @@
 			n.log.Error("notice can't be read", "id", x.ID)
 		}
 	}
-	n.heard(batch)
+	confirm(idsOf(batch))
 	return true
 }
 
-func (n *notices) heard(batch []Notice) {
+func idsOf(batch []line) []string {
 	ids := make([]string, len(batch))
 	for i, x := range batch {
 		ids[i] = x.ID
 	}
-	n.events <- noticedEvent{ids}
+	return ids
 }
 
 // more adds what waits to a batch.
-func (n *notices) more(batch []Notice) []Notice {
+func (n *Sink) more(batch []line) []line {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	k := min(len(n.queue), noticeBatch-len(batch))
@@ -148,7 +158,7 @@
 	return batch
 }
 
-func (n *notices) post(ctx context.Context, batch []Notice) (int, error) {
+func (n *Sink) post(ctx context.Context, batch []line) (int, error) {
 	var b bytes.Buffer
 	enc := json.NewEncoder(&b)
 	for _, x := range batch {
--- /dev/null
+++ b/internal/source/platform/platform.go
@@ -0,0 +1,214 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"cometrack/internal/core"
+	"cometrack/logic"
+)
+
+const (
+	watchHold  = 20 * time.Second       // how long a watch may wait for news
+	watchSlack = time.Second            // and how much later its answer may come; changes count as told 2 s later
+	listTime   = 6 * time.Second        // for the whole list
+	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
+	maxList    = 4 << 20
+	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
+	moveTries  = 4                      // calls to a new address that may fail before the module is told
+	movePause  = 200 * time.Millisecond // after each
+)
+
+// List is discovery's answer.
+type List struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"` // the whole list
+	Instances  []Instance `json:"instances"`
+}
+
+// Instance is one endpoint of the list.
+type Instance struct {
+	ID        string  `json:"instanceId"`
+	HostPort  string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Dest      int64   `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+}
+
+// List is the answer in the core's terms.
+func (l List) List() core.List {
+	out := core.List{Whole: l.Reset, Endpoints: make([]core.Endpoint, len(l.Instances))}
+	for i, in := range l.Instances {
+		e := core.Endpoint{Name: in.ID, Addr: in.HostPort, Zone: in.Zone, Kind: in.Kind,
+			Partner: strconv.FormatInt(in.Dest, 10), Weight: in.Weight}
+		switch in.Lifecycle {
+		case "up":
+			e.State = logic.Ready
+		case "removed":
+			e.State = logic.Gone
+		default: // a state that is not known is no invitation to send
+			e.State = logic.Draining
+		}
+		out.Endpoints[i] = e
+	}
+	return out
+}
+
+// Source asks discovery for the list. A watch runs from its start until a call
+// fails or discovery moves.
+type Source struct {
+	client *http.Client
+	log    *slog.Logger
+
+	mu       sync.Mutex
+	addr     string
+	gen      int64 // of the list that the core has
+	started  bool  // there is such a list
+	watching bool
+	epoch    int                // counts the addresses
+	stop     context.CancelFunc // of the watch
+	again    func()             // begins a watch as the last Watch did
+}
+
+// New makes a source that asks at addr. known is the list that the core has
+// already; the zero value if it has none.
+func New(addr string, known List, log *slog.Logger) *Source {
+	return &Source{addr: addr, log: log, gen: known.Generation, started: known.Generation != 0 || len(known.Instances) > 0,
+		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
+}
+
+// Move ends the watch and turns to another address, at once. The list there is
+// asked for whole, since its generations need not follow on from those of the old
+// one. It says whether the address is another.
+func (d *Source) Move(addr string) bool {
+	d.mu.Lock()
+	if d.addr == addr {
+		d.mu.Unlock()
+		return false
+	}
+	if d.stop != nil {
+		d.stop()
+	}
+	d.client.CloseIdleConnections()
+	d.addr, d.started, d.watching = addr, false, false
+	d.epoch++
+	again := d.again
+	d.mu.Unlock()
+	if again != nil {
+		again()
+	}
+	return true
+}
+
+// Takes notes what a watch has brought, and says whether it is news: a watch at an
+// address left behind has nothing to tell.
+func (d *Source) Takes(n core.News) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n.Epoch != d.epoch {
+		return false
+	}
+	if n.Err != nil {
+		d.watching = false
+	} else {
+		d.gen, d.started = n.Version, true
+	}
+	return true
+}
+
+// Watch begins to follow the list, unless it is followed already.
+func (d *Source) Watch(ctx context.Context, tell func(core.News)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.again = func() { d.Watch(ctx, tell) }
+	if d.watching {
+		return
+	}
+	d.watching = true
+	watching, stop := context.WithCancel(ctx)
+	d.stop = stop
+	w := watch{d: d, tell: tell, base: "http://" + d.addr + "/discovery/hosts", epoch: d.epoch, gen: d.gen, started: d.started}
+	if d.epoch > 0 && !d.started {
+		w.spare = moveTries
+	}
+	go func() {
+		defer stop()
+		w.run(watching)
+	}()
+}
+
+// watch is a row of calls, each after the last answer at once, so that nothing is
+// missed in between.
+type watch struct {
+	d       *Source
+	tell    func(core.News)
+	base    string
+	epoch   int
+	gen     int64
+	started bool
+	spare   int // calls that may fail before the watch does
+}
+
+func (w *watch) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		url, limit := w.base, listTime
+		if w.started {
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, watchHold.Milliseconds())
+			limit = watchHold + watchSlack
+		}
+		at := time.Now()
+		list, err := w.d.get(ctx, url, limit)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			w.d.log.Warn("discovery", "err", err)
+			if w.spare--; w.spare >= 0 {
+				time.Sleep(movePause)
+				continue
+			}
+			w.tell(core.News{Err: err, Epoch: w.epoch})
+			return
+		}
+		w.gen, w.started, w.spare = list.Generation, true, 0
+		w.tell(core.News{List: list.List(), Version: list.Generation, Epoch: w.epoch})
+		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
+			time.Sleep(emptyPause)
+		}
+	}
+}
+
+func (d *Source) get(ctx context.Context, url string, limit time.Duration) (List, error) {
+	var list List
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return list, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return list, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+		return list, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
+		return list, fmt.Errorf("read list: %w", err)
+	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+	return list, nil
+}
--- /dev/null
+++ b/internal/store/ended.go
@@ -0,0 +1,72 @@
+package store
+
+import "time"
+
+// Ended is what is remembered of a message that is over.
+type Ended struct {
+	ID       string `json:"id"`
+	Tenant   string `json:"tenant,omitempty"`
+	Partner  string `json:"partner,omitempty"`
+	Class    string `json:"class,omitempty"`
+	State    string `json:"state"`
+	AfterMS  int64  `json:"after_ms,omitempty"`
+	Tries    int    `json:"tries,omitempty"`
+	Accepted int64  `json:"at,omitempty"` // Unix time in microseconds, as is Over
+	Over     int64  `json:"over"`
+	Digest   uint64 `json:"digest"`
+	Until    int64  `json:"until"` // forgotten after this, Unix time in microseconds
+}
+
+// size is roughly what it takes in a file.
+func (e *Ended) size() int64 {
+	return int64(160 + 2*len(e.ID) + len(e.Tenant) + len(e.Partner) + len(e.Class))
+}
+
+// ended remembers messages that are over, the oldest first to go. Bounds hold at
+// once: number, bytes, and each one's own time.
+type ended struct {
+	byID  map[string]*Ended
+	queue []*Ended // in the order in which they came; the front ones are nil once dropped
+	head  int
+	bytes int64
+	most  int
+	room  int64 // bytes; 0 for no limit
+}
+
+func newEnded(most int, room int64) *ended {
+	return &ended{byID: map[string]*Ended{}, most: most, room: room}
+}
+
+func (d *ended) add(e *Ended) {
+	if d.byID[e.ID] != nil || d.most <= 0 {
+		return
+	}
+	d.byID[e.ID] = e
+	d.queue = append(d.queue, e)
+	d.bytes += e.size()
+	for len(d.byID) > d.most || d.room > 0 && d.bytes > d.room {
+		d.pop()
+	}
+}
+
+func (d *ended) pop() {
+	e := d.queue[d.head]
+	d.queue[d.head] = nil
+	delete(d.byID, e.ID)
+	d.bytes -= e.size()
+	if d.head++; d.head > 64 && d.head*2 > len(d.queue) {
+		d.queue = append(d.queue[:0:0], d.queue[d.head:]...)
+		d.head = 0
+	}
+}
+
+// forget drops those at the front whose time is up.
+func (d *ended) forget(now time.Time) {
+	at := now.UnixMicro()
+	for len(d.byID) > 0 && d.queue[d.head].Until < at {
+		d.pop()
+	}
+}
+
+// all lists them, the oldest first.
+func (d *ended) all() []*Ended { return d.queue[d.head:] }
--- a/internal/node/journal.go
+++ b/internal/store/journal.go
@@ -1,4 +1,4 @@
-package node
+package store
 
 import (
 	"bufio"
@@ -11,62 +11,80 @@
 	"os"
 	"path/filepath"
 	"slices"
-)
-
-// Message is a message as a client handed it in.
-type Message struct {
-	ID       string `json:"id"`
-	Key      string `json:"key,omitempty"`   // idempotency key
-	Order    string `json:"order,omitempty"` // order key
-	Class    string `json:"class"`
-	Tenant   string `json:"tenant,omitempty"`
-	Dest     int64  `json:"dest"`
-	Deadline int64  `json:"deadline"` // Unix time in microseconds
-	Body     []byte `json:"body,omitempty"`
-}
+	"strconv"
+	"time"
 
-// Notice is the end of a message as the platform is told of it.
-type Notice struct {
-	ID      string `json:"id"`
-	State   string `json:"state"` // failed or returned
-	AfterMS int64  `json:"after_ms,omitempty"`
-}
+	"cometrack/internal/message"
+)
 
 // Entry is what the journal knows of a message that is not over, or whose end the
 // platform has yet to confirm.
 type Entry struct {
-	Message
-	Tries     int     `json:"tries,omitempty"`
-	Open      bool    `json:"open,omitempty"`      // the last attempt has no outcome
-	MayRun    bool    `json:"may_run,omitempty"`   // an earlier one may have run
-	FirstMay  int64   `json:"first_may,omitempty"` // when the first that may have run was sent, Unix microseconds
-	FirstZone int     `json:"zone,omitempty"`      // zone of its endpoint
-	End       *Notice `json:"end,omitempty"`
+	message.Message
+	Accepted  int64        `json:"at,omitempty"` // when it was taken on, Unix microseconds
+	Tries     int          `json:"tries,omitempty"`
+	Open      bool         `json:"open,omitempty"`      // the last attempt has no outcome
+	MayRun    bool         `json:"may_run,omitempty"`   // an earlier one may have run
+	FirstMay  int64        `json:"first_may,omitempty"` // when the first that may have run was sent, Unix microseconds
+	FirstZone string       `json:"at_zone,omitempty"`   // zone of its endpoint
+	End       *message.End `json:"end,omitempty"`
+	OldDest   *int64       `json:"dest,omitempty"`   // the partner, in files of before 0.2
+	EndDigest uint64       `json:"digest,omitempty"` // of the message as it was, once it has ended and its body is gone
 	seq       int
 	size      int
 }
 
-// op is the kind of a record.
-type op byte
+// Told is the digest of the message as it was handed in.
+func (e *Entry) Told() uint64 {
+	if e.End != nil {
+		return e.EndDigest
+	}
+	return e.Digest()
+}
+
+// upgrade reads an entry of an older file.
+func (e *Entry) upgrade() {
+	if e.Partner == "" && e.OldDest != nil {
+		e.Partner = strconv.FormatInt(*e.OldDest, 10)
+	}
+	e.OldDest = nil
+}
+
+// Op is the kind of a record.
+type Op byte
 
 const (
-	opAccept  op = iota + 1 // a message is taken on
-	opSend                  // an attempt is about to be made
-	opOutcome               // it has its outcome
-	opDone                  // delivered, or over without our word
-	opEnd                   // ended by us; the notice is owed
-	opNoticed               // the notice is confirmed
+	OpAccept  Op = iota + 1 // a message is taken on
+	OpSend                  // an attempt is about to be made
+	OpOutcome               // it has its outcome
+	OpDone                  // delivered, or over without our word
+	OpEnd                   // ended by us; the notice is owed
+	OpNoticed               // the notice is confirmed
+	OpEnded                 // what is remembered of one that is over; only in rewritten files
 )
 
-// record is one line of the journal.
-type record struct {
-	Op     op      `json:"op"`
-	ID     string  `json:"id,omitempty"`
-	Entry  *Entry  `json:"entry,omitempty"`
-	At     int64   `json:"at,omitempty"`
-	Zone   int     `json:"zone,omitempty"`
-	MayRun bool    `json:"may_run,omitempty"`
-	Notice *Notice `json:"notice,omitempty"`
+// Record is one line of the journal.
+type Record struct {
+	Op     Op           `json:"op"`
+	ID     string       `json:"id,omitempty"`
+	Entry  *Entry       `json:"entry,omitempty"`
+	At     int64        `json:"at,omitempty"`
+	Zone   string       `json:"at_zone,omitempty"` // of the endpoint that an attempt goes to
+	MayRun bool         `json:"may_run,omitempty"`
+	End    *message.End `json:"notice,omitempty"`
+	Ended  *Ended       `json:"ended,omitempty"`
+}
+
+// Options bound the store.
+type Options struct {
+	Disk int64 // bytes in the folder; 0 for a default
+	// Ends of messages are remembered for KeepEnded after the end, or if that is 0 until the message's own
+	// deadline, and no more than MostEnded at once; the oldest go first.
+	KeepEnded time.Duration
+	MostEnded int
+	// SaveEnded writes them into rewritten files too. Else a restart remembers only those whose last record is
+	// still in the file.
+	SaveEnded bool
 }
 
 const (
@@ -78,10 +96,12 @@
 	acceptPart = 0.6
 	// mostFile bounds a file where the platform sets no tighter limit; files count as memory.
 	mostFile = 16 << 20
+	// endedPart is the part of a file that remembered ends may fill.
+	endedPart = 0.2
 )
 
-// errFull says that the journal has no room for another message.
-var errFull = errors.New("journal full")
+// ErrFull says that the journal has no room for another message.
+var ErrFull = errors.New("journal full")
 
 // Journal keeps accepted messages in a file that outlives the process. Its
 // records are appended; a file that grows too long is rewritten with what is
@@ -94,16 +114,23 @@
 	live    int64 // rough size of what a rewrite keeps
 	seq     int
 	entries map[string]*Entry
+	ended   *ended
+	opts    Options
 	dirty   bool // the file lacks something that entries has: rewrite before the next append
 }
 
-// OpenJournal replays the journal in dir, cuts a torn end off and makes it ready
-// for appending. Together its files stay under diskBytes.
-func OpenJournal(dir string, diskBytes int64) (*Journal, error) {
-	j := &Journal{dir: dir, entries: map[string]*Entry{}, limit: min(diskBytes*45/100, mostFile)}
-	if diskBytes <= 0 {
+// Open replays the journal in dir, cuts a torn end off and makes it ready for
+// appending. Together its files stay under the bytes that opts allow.
+func Open(dir string, opts Options) (*Journal, error) {
+	j := &Journal{dir: dir, opts: opts, entries: map[string]*Entry{}, limit: min(opts.Disk*45/100, mostFile)}
+	if opts.Disk <= 0 {
 		j.limit = mostFile
 	}
+	room := int64(0)
+	if opts.SaveEnded {
+		room = int64(endedPart * float64(j.limit))
+	}
+	j.ended = newEnded(opts.MostEnded, room)
 	if err := os.Remove(j.path(".new")); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
@@ -137,7 +164,7 @@
 		if _, err := io.ReadFull(r, body); err != nil || crc32.ChecksumIEEE(body) != binary.LittleEndian.Uint32(head[4:]) {
 			break
 		}
-		var rec record
+		var rec Record
 		if err := json.Unmarshal(body, &rec); err != nil {
 			break
 		}
@@ -152,59 +179,100 @@
 }
 
 // apply brings the entries up to date with a record.
-func (j *Journal) apply(rec record) {
-	if rec.Op == opAccept {
+func (j *Journal) apply(rec Record) {
+	if rec.Op == OpAccept {
 		if rec.Entry == nil || j.entries[rec.Entry.ID] != nil {
 			return
 		}
 		e := rec.Entry
+		e.upgrade()
 		j.seq++
 		e.seq, e.size = j.seq, len(e.Body)*4/3+512
 		j.live += int64(e.size)
 		j.entries[e.ID] = e
 		return
 	}
+	if rec.Op == OpEnded {
+		if rec.Ended != nil {
+			j.ended.add(rec.Ended)
+		}
+		return
+	}
 	e := j.entries[rec.ID]
 	if e == nil {
 		return
 	}
 	switch rec.Op {
-	case opSend:
+	case OpSend:
 		e.Tries++
 		e.Open = true
 		if !e.MayRun {
 			e.FirstMay, e.FirstZone = rec.At, rec.Zone
 		}
-	case opOutcome:
+	case OpOutcome:
 		e.Open = false
 		e.MayRun = e.MayRun || rec.MayRun
-	case opEnd:
-		e.End = rec.Notice
+	case OpEnd:
+		if rec.End == nil || e.End != nil {
+			return
+		}
+		e.End = rec.End
+		e.EndDigest = e.Digest()
 		e.Body = nil
 		j.live -= int64(e.size - 512)
 		e.size = 512
-	case opDone, opNoticed:
+	case OpDone, OpNoticed:
 		j.live -= int64(e.size)
 		delete(j.entries, rec.ID)
+		j.remember(e, rec)
+	}
+}
+
+// remember notes the end of a message whose last record is rec.
+func (j *Journal) remember(e *Entry, rec Record) {
+	x := &Ended{ID: e.ID, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, State: message.Delivered, Tries: e.Tries,
+		Accepted: e.Accepted, Over: rec.At, Digest: e.EndDigest, Until: e.Deadline}
+	if e.End != nil {
+		x.State, x.AfterMS, x.Over = e.End.State, e.End.AfterMS, e.End.At
+	} else {
+		x.Digest = e.Digest()
 	}
+	if k := j.opts.KeepEnded; k > 0 {
+		x.Until = x.Over + k.Microseconds()
+	}
+	j.ended.add(x)
 }
 
+// Ended returns what is remembered of a message that is over; nil if nothing is.
+func (j *Journal) Ended(id string) *Ended { return j.ended.byID[id] }
+
+// Forget drops ends whose time is up.
+func (j *Journal) Forget(now time.Time) { j.ended.forget(now) }
+
 // Room says whether the journal can take on a message with such a body.
 func (j *Journal) Room(body int) bool {
-	return float64(j.live)+float64(body)*4/3+512 <= acceptPart*float64(j.limit)
+	return float64(j.live+j.saved())+float64(body)*4/3+512 <= acceptPart*float64(j.limit)
+}
+
+// saved is what remembered ends take in a rewritten file.
+func (j *Journal) saved() int64 {
+	if !j.opts.SaveEnded {
+		return 0
+	}
+	return j.ended.bytes
 }
 
 // Append writes records in one go, so that a process that dies leaves all of the
 // earlier ones before any later one. On an error none of them is in the file:
 // the caller must not act on a message taken on or a send. What only records the
 // past counts all the same, and gets into the file with the next rewrite.
-func (j *Journal) Append(recs []record) error {
+func (j *Journal) Append(recs []Record) error {
 	if len(recs) == 0 {
 		return nil
 	}
 	err := j.write(recs)
 	for _, rec := range recs {
-		if err == nil || rec.Op != opAccept && rec.Op != opSend {
+		if err == nil || rec.Op != OpAccept && rec.Op != OpSend {
 			j.apply(rec)
 		}
 	}
@@ -215,7 +283,7 @@
 	return nil
 }
 
-func (j *Journal) write(recs []record) error {
+func (j *Journal) write(recs []Record) error {
 	var b []byte
 	for _, rec := range recs {
 		var err error
@@ -229,7 +297,7 @@
 		}
 	}
 	if j.size+int64(len(b)) > j.limit {
-		return errFull
+		return ErrFull
 	}
 	if n, err := j.file.WriteAt(b, j.size); err != nil {
 		if n > 0 {
@@ -242,7 +310,7 @@
 	return nil
 }
 
-func frame(b []byte, rec record) ([]byte, error) {
+func frame(b []byte, rec Record) ([]byte, error) {
 	body, err := json.Marshal(rec)
 	if err != nil {
 		return b, err
@@ -261,12 +329,20 @@
 	var b []byte
 	for _, e := range j.Entries() {
 		var err error
-		if b, err = frame(b, record{Op: opAccept, Entry: e}); err != nil {
+		if b, err = frame(b, Record{Op: OpAccept, Entry: e}); err != nil {
 			return err
 		}
 	}
+	if j.opts.SaveEnded {
+		for _, e := range j.ended.all() {
+			var err error
+			if b, err = frame(b, Record{Op: OpEnded, Ended: e}); err != nil {
+				return err
+			}
+		}
+	}
 	if int64(len(b)) > j.limit {
-		return errFull
+		return ErrFull
 	}
 	f, err := os.OpenFile(j.path(".new"), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
@@ -298,5 +374,8 @@
 // Entry returns what is known of a message; nil if nothing is owed for it.
 func (j *Journal) Entry(id string) *Entry { return j.entries[id] }
 
+// Len is the number of messages that something is owed for.
+func (j *Journal) Len() int { return len(j.entries) }
+
 // Close closes the file.
 func (j *Journal) Close() error { return j.file.Close() }
--- a/internal/node/answer.go
+++ b/internal/transport/http/answer.go
@@ -1,4 +1,4 @@
-package node
+package httptransport
 
 import (
 	"bufio"
@@ -13,7 +13,8 @@
 	"strings"
 	"time"
 
-	"ravenmount/logic"
+	"cometrack/internal/core"
+	"cometrack/logic"
 )
 
 const (
@@ -29,7 +30,7 @@
 // connection can carry another. net/http's reader would not do: the first line
 // counts even where the rest of the head can't be read, and lengths that leave a
 // doubt are no lengths.
-func readAnswer(r *bufio.Reader, limit *cutoff) (result, bool) {
+func readAnswer(r *bufio.Reader, limit *cutoff) (core.Result, bool) {
 	for {
 		limit.wait(0)
 		if _, err := r.Peek(1); err != nil {
@@ -39,7 +40,7 @@
 			given := limit.outcome()
 			limit.giveUp()
 			if _, err := r.Peek(1); err != nil {
-				return result{outcome: given}, false
+				return core.Result{Outcome: given}, false
 			}
 		}
 		limit.wait(headTime)
@@ -47,7 +48,7 @@
 		if status == http.StatusOK { // true whatever follows
 			limit.wait(tailTime)
 			_, keep, tail := readRest(r, status)
-			return result{outcome: logic.Completed}, err == nil && tail == nil && keep
+			return core.Result{Outcome: logic.Completed}, err == nil && tail == nil && keep
 		}
 		if err != nil {
 			return limit.broken(err), false
@@ -67,14 +68,14 @@
 }
 
 // broken is the outcome of an answer that did not come whole.
-func (l *cutoff) broken(err error) result {
+func (l *cutoff) broken(err error) core.Result {
 	switch {
 	case l.over():
-		return result{outcome: l.outcome()}
+		return core.Result{Outcome: l.outcome()}
 	case errors.Is(err, errSpoilt), isTimeout(err):
-		return result{outcome: logic.Spoilt}
+		return core.Result{Outcome: logic.Spoilt}
 	}
-	return result{outcome: logic.Severed}
+	return core.Result{Outcome: logic.Severed}
 }
 
 // readStatus reads the first line of an answer. The status is there as soon as it
@@ -154,25 +155,25 @@
 }
 
 // outcomeOf reads an answer that came whole.
-func outcomeOf(status int, header http.Header) result {
+func outcomeOf(status int, header http.Header) core.Result {
 	switch status {
 	case http.StatusTooManyRequests:
 		ms, err := strconv.ParseInt(header.Get("X-Come-Back-Ms"), 10, 64)
 		if err != nil || ms < 0 {
 			ms = 0
 		}
-		return result{outcome: logic.Full, wait: time.Duration(min(ms, maxHold.Milliseconds())) * time.Millisecond}
+		return core.Result{Outcome: logic.Full, Wait: time.Duration(min(ms, core.MaxHold.Milliseconds())) * time.Millisecond}
 	case http.StatusServiceUnavailable:
 		if header.Get("X-Line-Busy") == "1" {
-			return result{outcome: logic.Moot}
+			return core.Result{Outcome: logic.Moot}
 		}
-		return result{outcome: logic.Full}
+		return core.Result{Outcome: logic.Full}
 	case http.StatusGatewayTimeout:
-		return result{outcome: logic.Moot}
+		return core.Result{Outcome: logic.Moot}
 	case http.StatusGone:
-		return result{outcome: logic.Moot, over: true}
+		return core.Result{Outcome: logic.Moot, Over: true}
 	}
-	return result{outcome: logic.Errored}
+	return core.Result{Outcome: logic.Errored}
 }
 
 func isTimeout(err error) bool {
--- /dev/null
+++ b/internal/transport/http/answer_test.go
@@ -0,0 +1,229 @@
+package httptransport
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cometrack/internal/core"
+	"cometrack/internal/standin/byhand"
+	"cometrack/logic"
+)
+
+func newReader(s string) *bufio.Reader { return bufio.NewReader(strings.NewReader(s)) }
+
+// spoilt are answers that can't be read and leave the connection open.
+var spoiltAnswers = map[string]string{
+	"noise":               "\x00\x17\x03 noise\r\n\r\n",
+	"no version":          "HELLO 200 OK\r\n\r\n",
+	"no status":           "HTTP/1.1 \r\n\r\n",
+	"long status":         "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+	"endless line":        strings.Repeat("x", 8192),
+	"head that is noise":  "HTTP/1.1 503 x\r\n\x01\x02 noise\r\n\r\n",
+	"head without end":    "HTTP/1.1 429 x\r\nX-Come-Back-Ms: 5\r\n",
+	"short body":          "HTTP/1.1 503 x\r\nContent-Length: 10\r\n\r\nabc",
+	"negative length":     "HTTP/1.1 429 x\r\nContent-Length: -5\r\n\r\n",
+	"signed length":       "HTTP/1.1 503 x\r\nContent-Length: +0\r\n\r\n",
+	"two lengths":         "HTTP/1.1 503 x\r\nContent-Length: 0\r\nContent-Length: 3\r\n\r\nabc",
+	"length and chunked":  "HTTP/1.1 504 x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"other coding":        "HTTP/1.1 503 x\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+	"bad chunk":           "HTTP/1.1 410 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	"3 GB":                "HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\nabc",
+	"endless body":        "HTTP/1.1 503 x\r\nConnection: close\r\n\r\n" + strings.Repeat("x", 2*maxAnswer),
+	"endless interim":     strings.Repeat("HTTP/1.1 102 x\r\n\r\n", maxAnswer/10),
+	"interim, then noise": "HTTP/1.1 100 Continue\r\n\r\nnoise\r\n\r\n",
+}
+
+// An answer that can't be read has run: it is neither a refusal nor an outage, and its connection ends.
+func TestSpoiltAnswers(t *testing.T) {
+	for name, text := range spoiltAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, c := byhand.NewEndpoint(t), testCaller()
+			got := goDo(t.Context(), c, newCall(e.Addr(), "hello", byhand.Patience))
+			in := byhand.Await(t, e.Calls, "call")
+			io.WriteString(in.Conn, text)
+			if r := byhand.Await(t, got, "result"); r.Outcome != logic.Spoilt || r.Over {
+				t.Errorf("got %+v, want Spoilt", r)
+			}
+			in.AwaitEnd(t)
+			in.Done <- false
+			if c.open != 0 {
+				t.Errorf("%d connections on the books", c.open)
+			}
+		})
+	}
+}
+
+// A first line that says 200 is a delivery, whatever follows; the connection is of no further use.
+func TestSpoiltDelivery(t *testing.T) {
+	for name, rest := range map[string]string{"noise": "\x01\x02\r\n\r\n", "no end": "A: b\r\n", "short": "Content-Length: 5\r\n\r\nab",
+		"3 GB": "Content-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<16), "negative": "Content-Length: -1\r\n\r\n",
+		"two": "Content-Length: 0\r\nContent-Length: 0\r\n\r\n", "second copy": "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, c := byhand.NewEndpoint(t), testCaller()
+			got := goDo(t.Context(), c, newCall(e.Addr(), "hello", byhand.Patience))
+			in := byhand.Await(t, e.Calls, "call")
+			go io.WriteString(in.Conn, "HTTP/1.1 200 OK\r\n"+rest)
+			if r := byhand.Await(t, got, "result"); r.Outcome != logic.Completed {
+				t.Errorf("got %+v, want Completed", r)
+			}
+			in.AwaitEnd(t)
+			in.Done <- false
+		})
+	}
+}
+
+// A second answer behind the first must never answer the next call: on a connection whose answer has just come the
+// next one is not made, and one with something on it is closed.
+func TestSurplusAnswer(t *testing.T) {
+	e, c := byhand.NewEndpoint(t), testCaller()
+	c.settle = time.Hour
+	got := goDo(t.Context(), c, newCall(e.Addr(), "hello", byhand.Patience))
+	first := byhand.Await(t, e.Calls, "call")
+	first.Reply(200)
+	byhand.Await(t, got, "result")
+	got = goDo(t.Context(), c, newCall(e.Addr(), "hello", byhand.Patience))
+	second := byhand.Await(t, e.Calls, "call")
+	if second.Conn == first.Conn {
+		t.Fatal("the next call came before what is behind the answer could show")
+	}
+	io.WriteString(first.Conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	second.Reply(500)
+	if r := byhand.Await(t, got, "result"); r.Outcome != logic.Errored {
+		t.Errorf("got %+v, want Errored", r)
+	}
+	for stop := time.Now().Add(byhand.Patience); ; { // until the surplus has come
+		c.mu.Lock()
+		good := c.good(c.idle[1][0])
+		c.mu.Unlock()
+		if !good {
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatal("the connection stays good")
+		}
+	}
+	c.settle = 0
+	got = goDo(t.Context(), c, newCall(e.Addr(), "hello", byhand.Patience))
+	third := byhand.Await(t, e.Calls, "call")
+	if third.Conn == first.Conn {
+		t.Error("a call on a connection with an answer on it")
+	}
+	third.Reply(429)
+	if r := byhand.Await(t, got, "result"); r.Outcome != logic.Full {
+		t.Errorf("got %+v, want Full", r)
+	}
+}
+
+// After an interim answer the call keeps its own deadline, and can still be cancelled.
+func TestAfterInterim(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		time time.Duration
+		end  func(cancel func(), in *byhand.InCall)
+		want logic.Outcome
+	}{
+		{"late", byhand.Patience, func(_ func(), in *byhand.InCall) {
+			time.Sleep(headTime + headTime/4) // the time that the rest of a head has
+			in.Reply(200)
+		}, logic.Completed},
+		{"cancelled", byhand.Patience, func(cancel func(), in *byhand.InCall) { cancel(); in.AwaitEnd(t); in.Reset() }, logic.Recalled},
+		{"silent", 100 * time.Millisecond, func(_ func(), in *byhand.InCall) { in.AwaitEnd(t); in.Reset() }, logic.Overdue},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			e, c := byhand.NewEndpoint(t), testCaller()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			got := goDo(ctx, c, newCall(e.Addr(), "hello", x.time))
+			in := byhand.Await(t, e.Calls, "call")
+			io.WriteString(in.Conn, "HTTP/1.1 102 Processing\r\nA: b\r\n\r\n")
+			x.end(cancel, in)
+			if r := byhand.Await(t, got, "result"); r.Outcome != x.want {
+				t.Errorf("got %+v, want %v", r, x.want)
+			}
+		})
+	}
+}
+
+// A call for which this process has no descriptor was never sent, and says nothing of the endpoint; an idle
+// connection makes room.
+func TestNoDescriptors(t *testing.T) {
+	e, c := byhand.NewEndpoint(t), New(time.Second, time.Hour, Limits{Open: 1, Idle: 1, PerEndpoint: 4})
+	got := goDo(t.Context(), c, newCall(e.Addr(), "hello", byhand.Patience))
+	in := byhand.Await(t, e.Calls, "call")
+	if r := c.Attempt(t.Context(), newCall(e.Addr(), "hello", byhand.Patience)); r.Outcome != logic.Moot || !r.Local {
+		t.Errorf("got %+v, want Moot for a local cause", r)
+	}
+	in.Reply(200)
+	byhand.Await(t, got, "result")
+	other := byhand.NewEndpoint(t)
+	call := newCall(other.Addr(), "hello", byhand.Patience)
+	call.Endpoint = 2
+	got = goDo(t.Context(), c, call)
+	byhand.Await(t, other.Calls, "call where an idle connection made room").Reply(200)
+	byhand.Await(t, got, "result")
+	c.Release(2)
+	c.dialer.Control = func(_, _ string, _ syscall.RawConn) error { return syscall.EMFILE }
+	if r := c.Attempt(t.Context(), newCall(e.Addr(), "hello", byhand.Patience)); r.Outcome != logic.Moot || !r.Local {
+		t.Errorf("got %+v, want Moot for a local cause", r)
+	}
+	if c.open != 0 || c.count != 0 {
+		t.Errorf("%d connections, %d idle on the books", c.open, c.count)
+	}
+}
+
+func FuzzReadAnswer(f *testing.F) {
+	for _, text := range spoiltAnswers {
+		if len(text) < 1000 {
+			f.Add(text)
+		}
+	}
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		conn, peer := net.Pipe()
+		defer conn.Close()
+		defer peer.Close()
+		r, keep := readAnswer(newReader(in), &cutoff{conn: conn, by: time.Now().Add(byhand.Patience)})
+		if r.Outcome == logic.Completed && !(strings.Contains(in, "HTTP/1.") && strings.Contains(in, " 200")) {
+			t.Errorf("%q is read as a delivery", in)
+		}
+		if keep && r.Outcome == logic.Spoilt {
+			t.Errorf("%q: the connection is kept", in)
+		}
+	})
+}
+
+// While kept connections break under calls, a call that a reset would end for good goes over a new one.
+func TestFragileKeepsOffBreakingConnections(t *testing.T) {
+	e, c := byhand.NewEndpoint(t), testCaller()
+	c.settle = 0
+	call := func(fragile bool, end func(*byhand.InCall)) (*byhand.InCall, core.Result) {
+		t.Helper()
+		in := newCall(e.Addr(), "hello", byhand.Patience)
+		in.Fragile = fragile
+		got := goDo(t.Context(), c, in)
+		out := byhand.Await(t, e.Calls, "call")
+		end(out)
+		return out, byhand.Await(t, got, "result")
+	}
+	answered := func(in *byhand.InCall) { in.Reply(200) }
+	first, _ := call(true, answered)
+	if second, _ := call(true, answered); second.Conn != first.Conn {
+		t.Error("kept connections are not used while none breaks")
+	}
+	if _, r := call(false, (*byhand.InCall).Reset); r.Outcome != logic.Severed {
+		t.Errorf("got %+v, want Severed", r)
+	}
+	third, _ := call(false, answered)
+	if fourth, _ := call(true, answered); fourth.Conn == third.Conn {
+		t.Error("a fragile call over a kept connection while those break")
+	}
+}
--- a/internal/node/calls.go
+++ b/internal/transport/http/calls.go
@@ -1,4 +1,4 @@
-package node
+package httptransport
 
 import (
 	"bufio"
@@ -12,11 +12,13 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
-	"ravenmount/logic"
+	"cometrack/internal/core"
+	"cometrack/internal/message"
+	"cometrack/internal/netutil"
+	"cometrack/logic"
 )
 
 const (
@@ -27,34 +29,6 @@
 	probeTime  = 1500 * time.Millisecond
 )
 
-// call is one attempt, or a probe if it has no message.
-type call struct {
-	id      string
-	attempt int
-	ep      logic.EndpointID
-	addr    string
-	giveUp  time.Duration
-	fragile bool      // a reset is its end: it keeps off kept connections while those break
-	writeBy time.Time // not to be written after this; zero for no such time
-	request *http.Request
-	state   *atomic.Int32
-}
-
-// The states of a call. It goes from the first to one of the others, once.
-const (
-	callConnecting int32 = iota
-	callWritten          // from here on it may have run
-	callHeld             // it is not to be written
-)
-
-// result is how a call ended.
-type result struct {
-	outcome logic.Outcome
-	wait    time.Duration // told by a refusal
-	over    bool          // the endpoint says that the message is over
-	local   bool          // nothing was sent for want of something at this end
-}
-
 // idleConn is a connection with no call on it.
 type idleConn struct {
 	net.Conn
@@ -67,51 +41,75 @@
 // errNoRoom says that this process has no descriptor to spare for a call.
 var errNoRoom = errors.New("no room for another connection")
 
-// caller makes calls over connections that it keeps. It never sends anything
+// Limits bound the connections to endpoints.
+type Limits struct {
+	Open        int // connections, idle ones counted
+	Idle        int // connections without a call
+	PerEndpoint int // of these to one endpoint
+}
+
+// Transport makes calls over connections that it keeps. It never sends anything
 // twice, and it knows whether the last byte was written: that tells what never
 // ran from what may have run. net/http's transport does neither.
-type caller struct {
-	dialer      net.Dialer
-	linger      time.Duration
-	settle      time.Duration
-	idleTime    time.Duration
-	perEndpoint int
-	most        shares
-	mu          sync.Mutex
-	idle        map[logic.EndpointID][]*idleConn
-	count       int       // idle connections
-	open        int       // connections, those that are being made too
-	brokeAt     time.Time // when a kept connection last broke under a call
+type Transport struct {
+	dialer   net.Dialer
+	linger   time.Duration
+	settle   time.Duration
+	idleTime time.Duration
+	most     Limits
+	mu       sync.Mutex
+	idle     map[logic.EndpointID][]*idleConn
+	count    int       // idle connections
+	open     int       // connections, those that are being made too
+	brokeAt  time.Time // when a kept connection last broke under a call
 }
 
-func newCaller(connectTime, idleTime time.Duration, perEndpoint int, most shares) *caller {
-	return &caller{dialer: net.Dialer{Timeout: connectTime}, linger: lingerTime, settle: settleTime, idleTime: idleTime,
-		perEndpoint: max(perEndpoint, 1), most: most, idle: map[logic.EndpointID][]*idleConn{}}
+// New makes a transport. A connection must come up within connectTime and is not
+// used again once it has been idle for idleTime.
+func New(connectTime, idleTime time.Duration, most Limits) *Transport {
+	most.PerEndpoint = max(most.PerEndpoint, 1)
+	return &Transport{dialer: net.Dialer{Timeout: connectTime}, linger: lingerTime, settle: settleTime, idleTime: idleTime,
+		most: most, idle: map[logic.EndpointID][]*idleConn{}}
+}
+
+// Attempt makes a call that hands a message to an endpoint.
+func (c *Transport) Attempt(ctx context.Context, a *core.Attempt) core.Result {
+	req, err := deliverRequest(a.Message, a.Addr, a.GiveUp)
+	if err != nil {
+		return core.Result{Outcome: logic.Moot, Local: true}
+	}
+	return c.do(ctx, a, req)
+}
+
+// Probe asks an endpoint whether it is well.
+func (c *Transport) Probe(ctx context.Context, ep logic.EndpointID, addr string) logic.Outcome {
+	req, err := probeRequest(addr)
+	if err != nil {
+		return logic.RefusedConn
+	}
+	return c.do(ctx, &core.Attempt{Endpoint: ep, Addr: addr, GiveUp: probeTime}, req).Outcome
 }
 
 // do makes a call. When ctx is cancelled the call is called off.
-func (c *caller) do(ctx context.Context, in *call) result {
-	deadline := time.Now().Add(in.giveUp)
+func (c *Transport) do(ctx context.Context, in *core.Attempt, req *http.Request) core.Result {
+	deadline := time.Now().Add(in.GiveUp)
 	conn, err := c.connect(ctx, in, deadline)
-	if !in.writeBy.IsZero() && time.Now().After(in.writeBy) {
-		in.state.CompareAndSwap(callConnecting, callHeld)
-	}
-	if !in.state.CompareAndSwap(callConnecting, callWritten) {
-		if err == nil && !c.put(in.ep, conn) {
+	if !in.Begin() {
+		if err == nil && !c.put(in.Endpoint, conn) {
 			c.drop(conn)
 		}
-		return result{outcome: logic.Moot}
+		return core.Result{Outcome: logic.Moot}
 	}
 	if err != nil {
 		if ownFault(err) {
-			return result{outcome: logic.Moot, local: true}
+			return core.Result{Outcome: logic.Moot, Local: true}
 		}
-		return result{outcome: logic.RefusedConn}
+		return core.Result{Outcome: logic.RefusedConn}
 	}
 	var b bytes.Buffer
-	if err := in.request.Write(&b); err != nil {
+	if err := req.Write(&b); err != nil {
 		c.drop(conn)
-		return result{outcome: logic.RefusedConn}
+		return core.Result{Outcome: logic.RefusedConn}
 	}
 	limit := &cutoff{conn: conn, by: deadline, linger: c.linger}
 	stop := context.AfterFunc(ctx, limit.cancel)
@@ -119,19 +117,19 @@
 	if _, err := conn.Write(b.Bytes()); err != nil {
 		stop()
 		c.drop(conn)
-		return result{outcome: logic.RefusedConn} // its last byte was not written
+		return core.Result{Outcome: logic.RefusedConn} // its last byte was not written
 	}
 	conn.limit.N = maxAnswer
 	r, keep := readAnswer(conn.r, limit)
-	if r.outcome == logic.Severed && !conn.since.IsZero() {
+	if r.Outcome == logic.Severed && !conn.since.IsZero() {
 		c.mu.Lock()
 		c.brokeAt = time.Now()
 		c.mu.Unlock()
 	}
-	if conn.limit.N <= 0 && r.outcome != logic.Completed {
-		r = result{outcome: logic.Spoilt} // it goes on for ever, say
+	if conn.limit.N <= 0 && r.Outcome != logic.Completed {
+		r = core.Result{Outcome: logic.Spoilt} // it goes on for ever, say
 	}
-	if !stop() || !keep || limit.over() || !c.put(in.ep, conn) {
+	if !stop() || !keep || limit.over() || !c.put(in.Endpoint, conn) {
 		c.drop(conn)
 	}
 	return r
@@ -210,7 +208,7 @@
 }
 
 // connect takes a kept connection or makes one.
-func (c *caller) connect(ctx context.Context, in *call, deadline time.Time) (*idleConn, error) {
+func (c *Transport) connect(ctx context.Context, in *core.Attempt, deadline time.Time) (*idleConn, error) {
 	if conn := c.take(in); conn != nil {
 		return conn, nil
 	}
@@ -219,13 +217,13 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	conn, err := c.dialer.DialContext(ctx, "tcp", in.addr)
+	conn, err := c.dialer.DialContext(ctx, "tcp", in.Addr)
 	if err != nil {
 		c.unreserve()
 		return nil, err
 	}
 	limit := &io.LimitedReader{R: conn}
-	return &idleConn{Conn: conn, r: bufio.NewReader(limit), limit: limit, addr: in.addr}, nil
+	return &idleConn{Conn: conn, r: bufio.NewReader(limit), limit: limit, addr: in.Addr}, nil
 }
 
 // ownFault says whether a connection failed for want of something at this end, which tells nothing of the endpoint.
@@ -239,37 +237,37 @@
 }
 
 // reserve takes a place for a connection; an idle one makes room for it.
-func (c *caller) reserve() bool {
+func (c *Transport) reserve() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open >= c.most.calls && !c.closeOldest() {
+	if c.open >= c.most.Open && !c.closeOldest() {
 		return false
 	}
 	c.open++
 	return true
 }
 
-func (c *caller) unreserve() {
+func (c *Transport) unreserve() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open--
 }
 
 // drop closes a connection that carries a call.
-func (c *caller) drop(conn *idleConn) {
+func (c *Transport) drop(conn *idleConn) {
 	conn.Close()
 	c.unreserve()
 }
 
 // The rest is about idle connections. What is named close… is called under the lock.
 
-func (c *caller) closeIdle(conn *idleConn) {
+func (c *Transport) closeIdle(conn *idleConn) {
 	conn.Close()
 	c.count--
 	c.open--
 }
 
-func (c *caller) closeOldest() bool {
+func (c *Transport) closeOldest() bool {
 	var from logic.EndpointID
 	var oldest *idleConn
 	for ep, list := range c.idle {
@@ -286,7 +284,7 @@
 }
 
 // keep sets the idle connections to ep, in the order in which they became idle.
-func (c *caller) keep(ep logic.EndpointID, list []*idleConn) {
+func (c *Transport) keep(ep logic.EndpointID, list []*idleConn) {
 	if len(list) == 0 {
 		delete(c.idle, ep)
 	} else {
@@ -296,11 +294,11 @@
 
 // take returns the kept connection to ep that was used last, if it is still good. One
 // whose last answer came just now is left: more may be on its way behind that.
-func (c *caller) take(in *call) *idleConn {
+func (c *Transport) take(in *core.Attempt) *idleConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ep, addr := in.ep, in.addr
-	if in.fragile && time.Since(c.brokeAt) < brokeTime {
+	ep, addr := in.Endpoint, in.Addr
+	if in.Fragile && time.Since(c.brokeAt) < brokeTime {
 		return nil
 	}
 	list := slices.Clone(c.idle[ep])
@@ -322,19 +320,19 @@
 
 // good says whether a kept connection may carry a call: neither about to be closed
 // for its age nor closed already, nor with an answer on it that nobody asked for.
-func (c *caller) good(conn *idleConn) bool {
+func (c *Transport) good(conn *idleConn) bool {
 	if time.Since(conn.since) > c.idleTime-min(idleMargin, c.idleTime/4) {
 		return false
 	}
-	alive, data := peek(conn.Conn)
+	alive, data := netutil.Peek(conn.Conn)
 	return alive && !data
 }
 
 // put keeps a connection for the next call; false if there is no room.
-func (c *caller) put(ep logic.EndpointID, conn *idleConn) bool {
+func (c *Transport) put(ep logic.EndpointID, conn *idleConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[ep]) >= c.perEndpoint || c.count >= c.most.idle {
+	if len(c.idle[ep]) >= c.most.PerEndpoint || c.count >= c.most.Idle {
 		return false
 	}
 	conn.since = time.Now()
@@ -344,8 +342,8 @@
 	return true
 }
 
-// release closes the kept connections to ep.
-func (c *caller) release(ep logic.EndpointID) {
+// Release closes the kept connections to ep.
+func (c *Transport) Release(ep logic.EndpointID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.idle[ep] {
@@ -354,8 +352,8 @@
 	delete(c.idle, ep)
 }
 
-// sweep closes kept connections that are no good any more.
-func (c *caller) sweep() {
+// Sweep closes kept connections that are no good any more.
+func (c *Transport) Sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for ep, list := range c.idle {
@@ -372,7 +370,7 @@
 }
 
 // deliverRequest is the request that hands m to an endpoint.
-func deliverRequest(m *Message, addr string, giveUp time.Duration) (*http.Request, error) {
+func deliverRequest(m *message.Message, addr string, giveUp time.Duration) (*http.Request, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/inbox", bytes.NewReader(m.Body))
 	if err != nil {
 		return nil, fmt.Errorf("request to %s: %w", addr, err)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math"
 
-	"ravenmount/logic"
+	"cometrack/logic"
 )
 
 // setup is the JSON object that an instance gets at start. Unknown keys are
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"ravenmount/logic"
+	"cometrack/logic"
 )
 
 // Item is one event of a frame with the instance that it is for. Exactly one of
