--- /dev/null
+++ b/cmd/cometrack/commands.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cometrack/internal/config"
+	"cometrack/internal/daemon"
+	"cometrack/internal/demo"
+)
+
+// version is what --version says; a release sets it.
+var version = "0.2.0-dev"
+
+func root(hup <-chan os.Signal) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "cometrack",
+		Short:         "Deliver messages to partners that you do not control, each to exactly one end",
+		Version:       versionText(),
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cmd.SetOut(os.Stderr)
+			cmd.Usage()
+			return &exit{exitUsage, fmt.Errorf("say what to do, or set BALANCER_CONFIG for a sender of the platform")}
+		},
+	}
+	cmd.AddCommand(serve(hup), check(), demoCommand(), put(), state())
+	return cmd
+}
+
+// versionText adds the commit that the program was built from.
+func versionText() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return version
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && len(s.Value) >= 12 {
+			return version + " (" + s.Value[:12] + ")"
+		}
+	}
+	return version
+}
+
+func configFlag(cmd *cobra.Command, path *string) {
+	cmd.Flags().StringVarP(path, "config", "c", "", "the configuration file (TOML)")
+	cmd.MarkFlagRequired("config")
+	cmd.MarkFlagFilename("config", "toml")
+}
+
+func load(path string) (*config.File, error) {
+	f, err := config.Load(path)
+	if err != nil {
+		return nil, &exit{exitConfig, err}
+	}
+	return f, nil
+}
+
+func serve(hup <-chan os.Signal) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "serve --config FILE",
+		Short: "Run the daemon until SIGTERM; SIGHUP rereads partners and certificates",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			f, err := load(path)
+			if err != nil {
+				return err
+			}
+			limit(f.Limits.Cores, float64(f.Limits.MemoryMB))
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			d, err := daemon.NewStandalone(f, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+			if err != nil {
+				return &exit{exitError, err}
+			}
+			if err := d.Run(ctx, hup, func() (*config.File, error) { return config.Load(path) }); err != nil {
+				return &exit{exitError, err}
+			}
+			return nil
+		},
+	}
+	configFlag(cmd, &path)
+	return cmd
+}
+
+func check() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "check --config FILE",
+		Short: "Check a configuration file and report all that is wrong with it",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			f, err := load(path)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: good: %d partners, %d classes, %d tenants\n", path, len(f.Partners), len(f.Classes), len(f.Tenants))
+			return nil
+		},
+	}
+	configFlag(cmd, &path)
+	return cmd
+}
+
+func demoCommand() *cobra.Command {
+	opts := demo.Options{Out: os.Stdout}
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a daemon against scripted partners on loopback for half a minute and show what becomes of the messages",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			if err := demo.Run(ctx, opts); err != nil {
+				return &exit{exitError, err}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&opts.State, "state", "", "the folder for the journal (default: a temporary one)")
+	cmd.Flags().BoolVar(&opts.Keep, "keep", false, "go on until interrupted")
+	cmd.Flags().DurationVar(&opts.For, "for", 20*time.Second, "send for so long")
+	cmd.Flags().IntVar(&opts.Rate, "rate", 60, "messages a second through each front")
+	return cmd
+}
--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -1,9 +1,14 @@
-// Command cometrack is one sender on real sockets: it takes messages from clients
-// over RESP2 and delivers them to the endpoints of their destinations over HTTP.
+// Command cometrack delivers messages to partners that it does not control, each
+// to exactly one end.
+//
+// Without an argument and with BALANCER_CONFIG set it is a sender of the platform;
+// else its first argument says what it is to do.
 package main
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"math"
 	"os"
@@ -16,32 +21,68 @@
 	"cometrack/internal/daemon"
 )
 
+// Exit codes.
+const (
+	exitError   = 1 // something went wrong
+	exitUsage   = 2 // the command line can't be read
+	exitConfig  = 3 // the configuration has errors
+	exitRefused = 4 // the message was turned away or returned: handing it in again is harmless
+	exitFailed  = 5 // the message failed
+	exitUnknown = 6 // nothing is known of the message
+)
+
+// exit is an error with an exit code.
+type exit struct {
+	code int
+	err  error
+}
+
+func (e *exit) Error() string { return e.err.Error() }
+func (e *exit) Unwrap() error { return e.err }
+
 func main() {
 	hup := make(chan os.Signal, 1) // from the first line on: SIGHUP must not end the process
 	signal.Notify(hup, syscall.SIGHUP)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log, hup); err != nil {
-		log.Error("cometrack", "err", err)
-		os.Exit(1)
+	if len(os.Args) == 1 && os.Getenv("BALANCER_CONFIG") != "" {
+		log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+		if err := platform(log, hup); err != nil {
+			log.Error("cometrack", "err", err)
+			os.Exit(exitError)
+		}
+		return
+	}
+	if err := root(hup).Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "cometrack:", err)
+		var e *exit
+		if errors.As(err, &e) {
+			os.Exit(e.code)
+		}
+		os.Exit(exitUsage)
 	}
 }
 
-func run(log *slog.Logger, hup <-chan os.Signal) error {
+// platform runs a sender of the platform.
+func platform(log *slog.Logger, hup <-chan os.Signal) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	cfg, err := config.LoadPlatform()
 	if err != nil {
 		return err
 	}
-	if c := cfg.Limits.Cores; c > 0 {
-		runtime.GOMAXPROCS(max(int(math.Ceil(c)), 1))
-	}
-	if m := cfg.Limits.MemoryMB; m > 0 {
-		debug.SetMemoryLimit(int64(m * 0.7 * (1 << 20)))
-	}
+	limit(int(math.Ceil(cfg.Limits.Cores)), cfg.Limits.MemoryMB)
 	n, err := daemon.NewPlatform(cfg, log)
 	if err != nil {
 		return err
 	}
 	return n.Run(ctx, hup, config.LoadPlatform)
 }
+
+// limit keeps the process to so many processors and megabytes; 0 for no limit.
+func limit(cores int, memoryMB float64) {
+	if cores > 0 {
+		runtime.GOMAXPROCS(cores)
+	}
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB * 0.7 * (1 << 20)))
+	}
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -12,8 +12,8 @@
 	"cometrack/internal/wire"
 )
 
-// Limits are the bounds that the platform sets for the process.
-type Limits struct {
+// PlatformLimits are the bounds that the platform sets for the process.
+type PlatformLimits struct {
 	Cores    float64 `json:"cores"`
 	MemoryMB float64 `json:"memory_mb"`
 	Sockets  int     `json:"sockets"`
@@ -27,7 +27,7 @@
 	Discovery string
 	StateDir  string
 	Seed      uint64
-	Limits    Limits
+	Limits    PlatformLimits
 	Known     platform.List
 	Deploy    wire.Deployment
 }
@@ -71,7 +71,7 @@
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
-		Limits    Limits          `json:"limits"`
+		Limits    PlatformLimits  `json:"limits"`
 		Known     platform.List   `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"reflect"
+	"time"
+
+	"cometrack/internal/core"
+	"cometrack/logic"
+)
+
+// slack is room for calls that reach a partner closer together than they were
+// sent.
+const slack = 0.1
+
+// pacing is how much of a pace a quiet partner saves up, where a rate is told.
+const pacing = 20 * time.Millisecond
+
+func micros(d Duration) logic.Micros { return logic.Micros(time.Duration(d) / time.Microsecond) }
+
+var effectOf = map[string]logic.Effect{"safe": logic.Safe, "keyed": logic.Keyed, "unsafe": logic.Unsafe}
+
+// Settings are the module's.
+func (f *File) Settings() logic.Settings {
+	s := logic.Settings{Senders: f.Senders, Zones: len(f.Zones), Slots: f.Limits.Slots, MaxOpen: f.Limits.OpenMessages,
+		MaxTries: f.Limits.Attempts, Tick: logic.Micros(time.Millisecond / time.Microsecond), OnRequest: true, MayCancel: true,
+		RetryAfter: true, Halves: true, Weights: logic.WeightsNominal, Save: logic.Micros(pacing / time.Microsecond),
+		ConnIdle: micros(f.Transport.HTTP.Idle), ConnCalls: 1, MaxRetryAfter: micros(f.Limits.RetryAfter), OverShareWorth: 0.2,
+		DrainGrace: micros(f.Rules.DrainGrace), FallMultiple: f.Rules.FallMultiple, FallWindow: micros(f.Rules.FallWindow),
+		ColdFrom: f.Rules.ColdFrom, WarmAfter: micros(f.Rules.WarmAfter), KeyQuiet: micros(f.Rules.KeyQuiet),
+		ReportLeft: -1, ReportLimit: -1}
+	for i, z := range f.Zones {
+		if z == f.Zone {
+			s.Zone = i
+		}
+	}
+	for _, c := range f.Classes {
+		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: micros(c.Aim), Deadline: micros(c.Deadline), Worth: c.Worth,
+			LateWorth: c.LateWorth, Effect: effectOf[c.Effect], ByZone: c.ByZone, Window: micros(c.Window), KeepOrder: c.Order})
+	}
+	for _, t := range f.Tenants {
+		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.Name, QuotaRPS: t.Quota})
+	}
+	for _, k := range f.Kinds {
+		s.Kinds = append(s.Kinds, logic.Kind{Name: k.Name, Apart: k.Routes == "apart", Batch: 1})
+	}
+	return s
+}
+
+// List is the partners' endpoints as the core takes them. A partner's weight lies
+// so far under its rate that what a pace saves up, and calls that bunch on their
+// way, keep within the rate in any second.
+func (f *File) List() core.List {
+	out := core.List{Whole: true}
+	for _, p := range f.Partners {
+		weight := p.Rate / (1 + pacing.Seconds() + slack)
+		for _, e := range p.Endpoints {
+			row := core.Endpoint{Name: e.Name, Addr: e.Address, Zone: e.Zone, Kind: p.Kind, Partner: p.Name, Weight: weight}
+			if e.Drain {
+				row.State = logic.Draining
+			}
+			out.Endpoints = append(out.Endpoints, row)
+		}
+	}
+	return out
+}
+
+// HasTokens says whether clients have to show one.
+func (f *File) HasTokens() bool {
+	for _, t := range f.Tenants {
+		if len(t.Tokens) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Changed names the sections in which two files differ, other than partners: what
+// a running daemon does not follow.
+func Changed(a, b *File) []string {
+	var out []string
+	av, bv := reflect.ValueOf(*a), reflect.ValueOf(*b)
+	for i := range av.NumField() {
+		tag := av.Type().Field(i).Tag.Get("toml")
+		if tag == "" || tag == "partner" {
+			continue
+		}
+		if !reflect.DeepEqual(av.Field(i).Interface(), bv.Field(i).Interface()) {
+			out = append(out, tag)
+		}
+	}
+	return out
+}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -66,6 +66,9 @@
 	r := ev.result
 	if r.Wait > 0 {
 		c.holdWait(ev.attempt.Endpoint)
+		if to, ok := c.dir.eps[ev.attempt.Endpoint]; ok && c.cfg.KeepWaits {
+			c.records = append(c.records, store.Record{Op: store.OpWait, ID: to.name, At: time.Now().Add(r.Wait).UnixMicro()})
+		}
 	}
 	ended := h.over
 	done := r.Outcome == logic.Completed || r.Over
@@ -89,7 +92,7 @@
 	if c.cfg.TellDelivered && r.Outcome == logic.Completed {
 		end := message.End{ID: id, State: message.Delivered, At: now, Tries: h.tries}
 		c.records = append(c.records, store.Record{Op: store.OpEnd, ID: id, End: &end})
-		c.tell = append(c.tell, end)
+		c.tell = append(c.tell, toldEnd{h.msg, end})
 	} else {
 		c.records = append(c.records, store.Record{Op: store.OpDone, ID: id, At: now})
 	}
--- a/internal/core/check.go
+++ b/internal/core/check.go
@@ -23,6 +23,16 @@
 
 func (e *FieldError) Error() string { return fmt.Sprintf("%s: %s", e.Field, e.Reason) }
 
+// Deadline is how long messages of a class may be delivered where nobody says
+// otherwise.
+func (c *Core) Deadline(class string) (time.Duration, bool) {
+	i, ok := c.classes[class]
+	if !ok {
+		return 0, false
+	}
+	return span(c.cfg.Settings.Classes[i].Deadline), true
+}
+
 // Check says what is wrong with a message that may be delivered for hold from now
 // on: the first field at fault, as a *FieldError. Whether its partner is known is
 // for [Core.Submit] to say.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,6 +30,8 @@
 	// TellDelivered has the end sink told of deliveries too; else it hears of
 	// messages that ended otherwise.
 	TellDelivered bool
+	// KeepWaits keeps waits that endpoints have told over a restart.
+	KeepWaits bool
 }
 
 // Parts are what a core works with. It owns the store from New on.
@@ -46,11 +48,18 @@
 	msg      *message.Message
 	accepted int64 // Unix time in microseconds
 	tries    int
+	door     *Door              // that it came through; nil after a restart
 	over     bool               // ended; an attempt is still out
 	stop     context.CancelFunc // of the attempt that is out
 	attempt  *Attempt           // that attempt
 }
 
+// toldEnd is an end that the sink is to be told of.
+type toldEnd struct {
+	msg *message.Message
+	end message.End
+}
+
 // Core is one sender.
 type Core struct {
 	cfg       Config
@@ -80,8 +89,9 @@
 	fresh    map[string]*message.Message // of puts, those that are new, by id
 	asks     []stateEvent
 	records  []store.Record
-	tell     []message.End // deliveries that the sink is to be told of
-	ended    []string      // messages that are over since the last step
+	doors    []*Door
+	tell     []toldEnd // deliveries that the sink is to be told of
+	ended    []string  // messages that are over since the last step
 	watchers map[string][]chan State
 }
 
@@ -119,12 +129,12 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer c.store.Close()
-	defer close(c.done)
 	c.resume()
 	c.step(work) // what the store holds comes first: its ends are due
 	attrs := []any{"name", c.cfg.Name, "held", len(c.held)}
 	for _, f := range fronts {
 		if err := f.Listen(); err != nil {
+			close(c.done)
 			return fmt.Errorf("listen: %w", err)
 		}
 		defer f.CloseListener()
@@ -164,7 +174,24 @@
 		<-grace.Done()
 		close(stopped)
 	}()
-	return c.loop(work, served, stopped)
+	err := c.loop(work, served, stopped)
+	close(c.done)
+	c.turnAway()
+	return err
+}
+
+// turnAway answers what has come too late for the loop.
+func (c *Core) turnAway() {
+	for {
+		select {
+		case ev := <-c.events:
+			if put, ok := ev.(putEvent); ok {
+				put.tell(Answer{Verdict: Stopped})
+			}
+		default:
+			return
+		}
+	}
 }
 
 // post hands the loop what has happened; false once the loop has ended.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -70,7 +70,7 @@
 	confirm chan string
 }
 
-func (e *ends) Add(x message.End) { e.told <- x }
+func (e *ends) Add(_ *message.Message, x message.End) { e.told <- x }
 func (e *ends) Run(ctx context.Context, confirm func([]string)) {
 	for {
 		select {
@@ -353,7 +353,7 @@
 	r.resume()
 	put := func() Answer {
 		answer := make(chan Answer, 1)
-		r.Core.put(putEvent{newMessage("a", "safe"), answer})
+		r.Core.put(putEvent{msg: newMessage("a", "safe"), answer: answer})
 		return await(t, answer, "answer")
 	}
 	r.open = r.cfg.Settings.MaxOpen
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -15,6 +15,7 @@
 	// putEvent is a message that a client hands in. It gets one answer.
 	putEvent struct {
 		msg    *message.Message
+		door   *Door // nil if the front has none
 		answer chan<- Answer
 	}
 	// stateEvent asks for the state of a message. With watch, the answer waits
@@ -114,9 +115,16 @@
 		c.next = append(c.next, logic.Endpoints{Form: logic.ListCached, Entries: c.dir.take(*c.cfg.Known)})
 	}
 	now := time.Now().UnixMicro()
+	if c.cfg.KeepWaits {
+		for name, until := range c.store.Waits() {
+			if id, ok := c.dir.ids[name]; ok {
+				c.next = append(c.next, logic.Told{Endpoint: id, Left: logic.Micros(until - now)})
+			}
+		}
+	}
 	for _, e := range c.store.Entries() {
 		if e.End != nil {
-			c.sink.Add(*e.End)
+			c.sink.Add(&e.Message, *e.End)
 			continue
 		}
 		c.held[e.ID] = &held{msg: &e.Message, accepted: e.Accepted, tries: e.Tries}
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -130,8 +130,8 @@
 
 // EndSink is told how messages ended.
 type EndSink interface {
-	// Add takes an end; it never waits.
-	Add(e message.End)
+	// Add takes the end of a message, whose body may be gone; it never waits.
+	Add(m *message.Message, e message.End)
 	// Run passes ends on until ctx is over. It confirms those that have been
 	// heard; what is not confirmed is added again after a restart.
 	Run(ctx context.Context, confirm func(ids []string))
@@ -144,6 +144,7 @@
 	Entry(id string) *store.Entry
 	Entries() []*store.Entry
 	Ended(id string) *store.Ended
+	Waits() map[string]int64
 	Forget(now time.Time)
 	Len() int
 	Close() error
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -45,23 +45,24 @@
 		id := p.msg.ID
 		switch answer, told := answers[id]; {
 		case told:
-			p.answer <- answer
+			p.tell(answer)
 		case err != nil: // not written, so not taken on
-			p.answer <- Answer{Verdict: Busy}
+			p.tell(Answer{Verdict: Busy})
 			if c.fresh[id] == p.msg {
 				c.drop(id)
 				c.next = append(c.next, logic.ClientGone{ID: id})
 			}
 		default:
-			p.answer <- Answer{Verdict: Accepted, Again: c.fresh[id] != p.msg}
+			p.tell(Answer{Verdict: Accepted, Again: c.fresh[id] != p.msg})
 		}
 	}
 	clear(c.puts)
 	c.puts = c.puts[:0]
 	clear(c.fresh)
-	for _, end := range c.tell { // nobody is told of what the journal does not say
-		c.sink.Add(end)
+	for _, x := range c.tell { // nobody is told of what the journal does not say
+		c.sink.Add(x.msg, x.end)
 	}
+	clear(c.tell)
 	c.tell = c.tell[:0]
 	for _, a := range actions {
 		c.act(work, a, answers, now, err == nil)
@@ -93,7 +94,7 @@
 // drop forgets a message that was never taken on.
 func (c *Core) drop(id string) {
 	if h := c.held[id]; h != nil && !h.over {
-		c.open--
+		c.leave(h)
 		delete(c.held, id)
 	}
 }
@@ -101,7 +102,7 @@
 // finish takes a message off the books; the store remembers it.
 func (c *Core) finish(id string, h *held) {
 	h.over = true
-	c.open--
+	c.leave(h)
 	c.ended = append(c.ended, id)
 	if h.stop == nil {
 		delete(c.held, id)
@@ -125,7 +126,7 @@
 		}
 		if h := c.held[end.ID]; h != nil && !h.over {
 			c.finish(end.ID, h)
-			c.sink.Add(end)
+			c.sink.Add(h.msg, end)
 		}
 	case logic.SetTimer:
 		c.due.Reset(span(a.Wait)) // it goes off no later than the one before
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -33,7 +33,7 @@
 // soon as the message is journalled, or the module has given it up; answer must
 // have room for it.
 func (c *Core) Submit(m *message.Message, answer chan<- Answer) {
-	if !c.post(putEvent{m, answer}) {
+	if !c.post(putEvent{msg: m, answer: answer}) {
 		answer <- Answer{Verdict: Stopped}
 	}
 }
@@ -58,30 +58,32 @@
 	if digest, ok := c.known(m.ID); ok {
 		switch {
 		case digest != m.Digest():
-			ev.answer <- Answer{Verdict: Conflict}
+			ev.tell(Answer{Verdict: Conflict})
 		case c.fresh[m.ID] != nil:
 			c.puts = append(c.puts, ev) // it gets the answer of the first
 		default:
-			ev.answer <- Answer{Verdict: Accepted, Again: true}
+			ev.tell(Answer{Verdict: Accepted, Again: true})
 		}
 		return
 	}
 	if !c.dir.serves(m.Partner) {
 		if c.heard {
-			ev.answer <- Answer{Verdict: NoPartner}
+			ev.tell(Answer{Verdict: NoPartner})
 		} else { // nobody has told yet what there is
-			ev.answer <- Answer{Verdict: Busy, After: time.Second}
+			ev.tell(Answer{Verdict: Busy, After: time.Second})
 		}
 		return
 	}
-	most := c.cfg.Settings.MaxOpen
-	if most > 0 && c.open >= most || !c.store.Room(len(m.Body)) {
-		ev.answer <- Answer{Verdict: Busy}
+	if !c.roomFor(ev.door) || !c.store.Room(len(m.Body)) {
+		ev.tell(Answer{Verdict: Busy})
 		return
 	}
 	now := time.Now().UnixMicro()
-	c.held[m.ID] = &held{msg: m, accepted: now}
+	c.held[m.ID] = &held{msg: m, accepted: now, door: ev.door}
 	c.open++
+	if ev.door != nil {
+		ev.door.open++
+	}
 	c.puts = append(c.puts, ev)
 	c.fresh[m.ID] = m
 	c.next = append(c.next, c.callOf(m, now))
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -137,7 +137,7 @@
 func configText(p *fakePlatform, known platform.List) []byte {
 	b, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0",
 		"discovery": strings.TrimPrefix(p.srv.URL, "http://"), "seed": "1f",
-		"limits": config.Limits{Cores: 1, MemoryMB: 192, Sockets: 256, DiskMB: 3}, "known": known,
+		"limits": config.PlatformLimits{Cores: 1, MemoryMB: 192, Sockets: 256, DiskMB: 3}, "known": known,
 		"settings": json.RawMessage(settings)})
 	if err != nil {
 		panic(err)
--- /dev/null
+++ b/internal/daemon/standalone.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"cometrack/internal/config"
+	"cometrack/internal/core"
+	"cometrack/internal/front/auth"
+	httpfront "cometrack/internal/front/http"
+	"cometrack/internal/front/resp"
+	"cometrack/internal/sink/fan"
+	"cometrack/internal/sink/jsonl"
+	"cometrack/internal/sink/webhook"
+	"cometrack/internal/source/static"
+	"cometrack/internal/store"
+	httptransport "cometrack/internal/transport/http"
+)
+
+// Standalone is a daemon as its own file sets it up.
+type Standalone struct {
+	core   *core.Core
+	file   *config.File
+	source *static.Source
+	http   *httpfront.Front // nil if it is not served
+	resp   *resp.Front      // nil if it is not served
+	fronts []core.Front
+	log    *slog.Logger
+}
+
+// NewStandalone makes a daemon and replays its journal.
+func NewStandalone(f *config.File, log *slog.Logger) (*Standalone, error) {
+	if err := os.MkdirAll(f.State, 0o700); err != nil {
+		return nil, fmt.Errorf("state folder: %w", err)
+	}
+	journal, err := store.Open(f.State, store.Options{Disk: int64(f.Limits.DiskMB) * 1e6,
+		KeepEnded: time.Duration(f.Limits.Remember), MostEnded: f.Limits.Remembered, SaveEnded: true})
+	if err != nil {
+		return nil, err
+	}
+	s, err := assemble(f, journal, log)
+	if err != nil {
+		journal.Close()
+	}
+	return s, err
+}
+
+func assemble(f *config.File, journal *store.Journal, log *slog.Logger) (*Standalone, error) {
+	list := f.List()
+	s := &Standalone{file: f, source: static.New(list), log: log}
+	share := shareOut(f.Limits.Descriptors, f.Limits.Slots)
+	transport := httptransport.New(time.Duration(f.Transport.HTTP.ConnectTimeout), time.Duration(f.Transport.HTTP.Idle),
+		httptransport.Limits{Open: share.calls, Idle: share.idle, PerEndpoint: f.Limits.Slots})
+	var stream *httpfront.Stream
+	var sinks []fan.Sink
+	if h := f.Front.HTTP; h != nil {
+		stream = httpfront.NewStream(h.Window)
+	}
+	if w := f.Sink.Webhook; w != nil {
+		key, err := w.Key()
+		if err != nil {
+			return nil, fmt.Errorf("webhook: %w", err)
+		}
+		sinks = append(sinks, webhook.New(webhook.Options{URL: w.URL, Key: key, Timeout: time.Duration(w.Timeout),
+			Parallel: w.Parallel, Waiting: w.Waiting, Log: log}))
+	}
+	if x := f.Sink.File; x != nil {
+		sinks = append(sinks, jsonl.New(jsonl.Options{Path: x.Path, MaxMB: x.MaxMB, Keep: x.Keep, Waiting: x.Waiting, Log: log}))
+	}
+	sink := fan.New(sinks...)
+	if stream != nil {
+		sink.Observe(stream.Add)
+	}
+	var seed [8]byte
+	rand.Read(seed[:])
+	var err error
+	s.core, err = core.New(core.Config{Name: f.Name, Settings: f.Settings(), Seed: binary.LittleEndian.Uint64(seed[:]), Zones: f.Zones,
+		Known: &list, TellDelivered: true}, core.Parts{Store: journal, Transport: transport, Source: s.source, Sink: sink, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	s.serve(share.clients, stream)
+	return s, nil
+}
+
+// serve makes the fronts. Each has an even share of the connections, and of the
+// memory for large requests.
+func (s *Standalone) serve(connections int, stream *httpfront.Stream) {
+	f := s.file
+	n := 0
+	for _, on := range []bool{f.Front.RESP != nil, f.Front.HTTP != nil} {
+		if on {
+			n++
+		}
+	}
+	var tenant func(string) (string, bool)
+	if f.HasTokens() {
+		tenant = auth.New(f.Tenants).Tenant
+	}
+	memory := int64(f.Limits.MemoryMB) << 20 / largeShare / int64(n)
+	if h := f.Front.HTTP; h != nil {
+		s.http = httpfront.New(s.core.Door(n), httpfront.Options{Listen: h.Listen, Certificate: h.Certificate, Key: h.Key,
+			Connections: connections / n, Memory: memory, LongPolls: h.LongPolls, Streams: h.Streams,
+			MaxWait: time.Duration(h.MaxWait), Tenant: tenant, Stream: stream, Defaults: s.core.Deadline, Log: s.log})
+		s.fronts = append(s.fronts, s.http)
+	}
+	if r := f.Front.RESP; r != nil {
+		s.resp = resp.New(s.core.Door(n), resp.Options{Listen: r.Listen, Connections: connections / n, Memory: memory,
+			Tenant: tenant, Log: s.log})
+		s.fronts = append(s.fronts, s.resp)
+	}
+}
+
+// Core is the daemon's core.
+func (s *Standalone) Core() *core.Core { return s.core }
+
+// HTTPAddr is where the HTTP front listens, once the core is ready.
+func (s *Standalone) HTTPAddr() string { return s.http.Addr().String() }
+
+// RESPAddr is where the RESP2 front listens, once the core is ready.
+func (s *Standalone) RESPAddr() string { return s.resp.Addr().String() }
+
+// Run serves until ctx is cancelled, then shuts down in good order. At each signal
+// the file is read anew with load and its partners take the place of the old ones;
+// certificates are reread too. A file with an error changes nothing.
+func (s *Standalone) Run(ctx context.Context, reload <-chan os.Signal, load func() (*config.File, error)) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		for {
+			select {
+			case <-work.Done():
+				return
+			case <-reload:
+				s.reload(load)
+			}
+		}
+	}()
+	return s.core.Run(ctx, s.fronts...)
+}
+
+func (s *Standalone) reload(load func() (*config.File, error)) {
+	f, err := load()
+	if err != nil {
+		s.log.Error("reload: the old configuration stands", "err", err)
+		return
+	}
+	if s.http != nil {
+		if err := s.http.RereadCertificate(); err != nil {
+			s.log.Error("reload: the old certificate stands", "err", err)
+		}
+	}
+	s.source.Set(f.List())
+	for _, name := range config.Changed(s.file, f) {
+		s.log.Warn("reload: this change is for the next start", "section", name)
+	}
+	partners := len(f.Partners)
+	keep := *s.file
+	keep.Partners = f.Partners
+	s.file = &keep
+	s.log.Info("reload: partners follow the file", "partners", partners)
+}
--- /dev/null
+++ b/internal/demo/clients.go
@@ -0,0 +1,194 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"cometrack/internal/sink"
+)
+
+// submitter hands a message in and says whether it was taken on.
+type submitter interface {
+	name() string
+	submit(ctx context.Context, id, partner, class, body string) (taken bool, err error)
+}
+
+// send hands messages in on a schedule that does not wait for answers, to each
+// partner and in each class in turn.
+func send(ctx context.Context, s submitter, rate int, t *tally) {
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p, class := scripts[n%len(scripts)].Name, classes[n/len(scripts)%len(classes)]
+		id := fmt.Sprintf("%s-%s-%d", s.name(), class, n)
+		wg.Go(func() {
+			t.handIn(id, p)
+			taken, err := s.submit(context.WithoutCancel(ctx), id, p, class, "message "+id)
+			t.answered(id, taken, err)
+		})
+	}
+}
+
+// httpClient hands messages in over HTTP.
+type httpClient struct {
+	base   string
+	client *http.Client
+}
+
+func newHTTPClient(addr string) *httpClient {
+	return &httpClient{"http://" + addr, &http.Client{Timeout: 10 * time.Second,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
+}
+
+func (c *httpClient) name() string { return "http" }
+
+func (c *httpClient) submit(ctx context.Context, id, partner, class, body string) (bool, error) {
+	q := url.Values{"id": {id}, "key": {id}, "partner": {partner}, "class": {class}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/messages?"+q.Encode(), strings.NewReader(body))
+	if err != nil {
+		return false, err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<16))
+	if err != nil {
+		return false, err
+	}
+	switch resp.StatusCode {
+	case http.StatusAccepted:
+		return true, nil
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false, nil
+	}
+	return false, fmt.Errorf("answered %s: %s", resp.Status, text)
+}
+
+// respClient hands messages in over RESP2, on connections that it keeps.
+type respClient struct {
+	addr string
+	mu   sync.Mutex
+	idle []*respConn
+}
+
+type respConn struct {
+	net.Conn
+	r     *bufio.Reader
+	since time.Time
+}
+
+// respIdle is how long a connection is kept: the front closes it after 4 s.
+const respIdle = 3 * time.Second
+
+func newRESPClient(addr string) *respClient { return &respClient{addr: addr} }
+
+func (c *respClient) name() string { return "resp" }
+
+func (c *respClient) take() (*respConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.idle) > 0 {
+		conn := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if time.Since(conn.since) < respIdle {
+			return conn, nil
+		}
+		conn.Close()
+	}
+	conn, err := net.DialTimeout("tcp", c.addr, 5*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &respConn{Conn: conn, r: bufio.NewReader(conn)}, nil
+}
+
+func (c *respClient) submit(_ context.Context, id, partner, class, body string) (bool, error) {
+	conn, err := c.take()
+	if err != nil {
+		return false, err
+	}
+	opts := fmt.Sprintf("c=%s,d=%d,k=%s,dest=%s", class, deadline.Milliseconds(), id, partner)
+	var b strings.Builder
+	args := []string{"MSG.PUT", "0", id, opts, body}
+	fmt.Fprintf(&b, "*%d\r\n", len(args))
+	for _, a := range args {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(a), a)
+	}
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(conn, b.String()); err != nil {
+		conn.Close()
+		return false, err
+	}
+	line, err := conn.r.ReadString('\n')
+	if err != nil {
+		conn.Close()
+		return false, err
+	}
+	c.mu.Lock()
+	conn.since = time.Now()
+	c.idle = append(c.idle, conn)
+	c.mu.Unlock()
+	switch {
+	case strings.HasPrefix(line, "+"):
+		return true, nil
+	case strings.HasPrefix(line, "-BUSY"):
+		return false, nil
+	}
+	return false, errors.New(strings.TrimSpace(line))
+}
+
+// follow reads the stream of ends until ctx is over. ready is closed once it flows.
+func follow(ctx context.Context, addr string, ready chan<- struct{}, end func(sink.Line)) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/ends", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("answered %s", resp.Status)
+	}
+	s := bufio.NewScanner(resp.Body)
+	if s.Scan() {
+		close(ready)
+	}
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var l sink.Line
+		if err := json.Unmarshal([]byte(data), &l); err != nil {
+			return err
+		}
+		if l.ID != "" {
+			end(l)
+		}
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Join(errors.New("the stream has ended"), s.Err())
+}
--- /dev/null
+++ b/internal/front/http/front.go
@@ -0,0 +1,197 @@
+package httpfront
+
+import (
+	"context"
+	"crypto/tls"
+	_ "embed"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cometrack/internal/core"
+	"cometrack/internal/message"
+)
+
+// Bounds of what a client may ask for.
+const (
+	headTime    = 5 * time.Second  // for a request's head
+	bodyTime    = 10 * time.Second // for a body of one message, or a line of a batch
+	answerTime  = 10 * time.Second // for a client to take an answer, or an event
+	idleTime    = 60 * time.Second // between requests; the idlest goes sooner where places are short
+	maxHead     = 16 << 10
+	maxStreams  = 250 // requests at once on one HTTP/2 connection
+	smallBody   = 4 << 10
+	placeTime   = 200 * time.Millisecond // to wait for a place for a large body
+	acceptPause = 5 * time.Millisecond
+)
+
+// Core is what the front hands requests to. [core.Door] is one.
+type Core interface {
+	Check(m *message.Message, hold time.Duration) error
+	Submit(m *message.Message, answer chan<- core.Answer)
+	State(ctx context.Context, id string, wait bool) (core.State, error)
+}
+
+// Options set a front up.
+type Options struct {
+	Listen      string
+	Certificate string // PEM files; empty for no TLS
+	Key         string
+	Connections int   // at once; the idlest makes room for a new one
+	Memory      int64 // bytes that large bodies may hold until their requests are answered
+	LongPolls   int   // at once
+	Streams     int   // of ends, at once
+	MaxWait     time.Duration
+	Stream      *Stream
+	// Tenant returns the tenant that a token stands for. If it is nil, anybody may
+	// submit and read for any tenant.
+	Tenant func(token string) (tenant string, ok bool)
+	// Defaults returns how long messages of a class may be delivered where the
+	// client does not say.
+	Defaults func(class string) (time.Duration, bool)
+	Log      *slog.Logger
+}
+
+// Front serves HTTP.
+type Front struct {
+	core    Core
+	opts    Options
+	log     *slog.Logger
+	server  *http.Server
+	ln      net.Listener
+	cert    atomic.Pointer[tls.Certificate]
+	large   chan struct{}
+	polls   chan struct{}
+	streams chan struct{}
+	closing chan struct{} // closed when long answers are to end
+	once    sync.Once
+	places  places
+}
+
+//go:embed openapi.json
+var openAPI []byte
+
+// New makes a front for a core.
+func New(c Core, opts Options) *Front {
+	f := &Front{core: c, opts: opts, log: opts.Log, closing: make(chan struct{}),
+		large: make(chan struct{}, max(int(opts.Memory/(message.MaxBody+smallBody)), 8)),
+		polls: make(chan struct{}, max(opts.LongPolls, 1)), streams: make(chan struct{}, max(opts.Streams, 1)),
+		places: places{most: max(opts.Connections, 1), conns: map[net.Conn]place{}}}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	f.server = &http.Server{Handler: f.routes(), ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
+		Protocols: &protocols, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams}, ConnState: f.places.note,
+		ErrorLog: slog.NewLogLogger(opts.Log.Handler(), slog.LevelDebug)}
+	return f
+}
+
+func (f *Front) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/messages", f.authed(f.post))
+	mux.HandleFunc("GET /v1/messages/{id}", f.authed(f.get))
+	mux.HandleFunc("POST /v1/batch", f.authed(f.batch))
+	mux.HandleFunc("GET /v1/ends", f.authed(f.ends))
+	mux.HandleFunc("GET /openapi.json", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(openAPI)
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		for path, method := range map[string]string{"/v1/messages": "POST", "/v1/batch": "POST", "/v1/ends": "GET", "/openapi.json": "GET"} {
+			if r.URL.Path == path {
+				w.Header().Set("Allow", method)
+				problem{Status: http.StatusMethodNotAllowed, Detail: "this path takes " + method}.write(w)
+				return
+			}
+		}
+		problem{Status: http.StatusNotFound, Detail: "there is nothing here; /openapi.json tells what there is"}.write(w)
+	})
+	return mux
+}
+
+// Listen opens the listener.
+func (f *Front) Listen() error {
+	if err := f.RereadCertificate(); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", f.opts.Listen)
+	if err != nil {
+		return err
+	}
+	f.ln = ln
+	return nil
+}
+
+// RereadCertificate reads certificate and key anew. On an error the old ones stand.
+func (f *Front) RereadCertificate() error {
+	if f.opts.Certificate == "" {
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(f.opts.Certificate, f.opts.Key)
+	if err != nil {
+		return fmt.Errorf("certificate: %w", err)
+	}
+	f.cert.Store(&cert)
+	return nil
+}
+
+// Addr is where the front listens.
+func (f *Front) Addr() net.Addr { return f.ln.Addr() }
+
+// Serve takes clients until CloseListener.
+func (f *Front) Serve() {
+	var ln net.Listener = &listener{f.ln, f}
+	if f.opts.Certificate != "" {
+		ln = tls.NewListener(ln, &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: []string{"h2", "http/1.1"},
+			GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return f.cert.Load(), nil }})
+	}
+	if err := f.server.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+		f.log.Error("http front", "err", err)
+	}
+}
+
+// CloseListener ends the taking of new clients.
+func (f *Front) CloseListener() { f.ln.Close() }
+
+// Shutdown ends long-polls and streams, lets other requests end, and closes.
+func (f *Front) Shutdown(ctx context.Context) {
+	f.once.Do(func() { close(f.closing) })
+	if f.server.Shutdown(ctx) != nil {
+		f.server.Close()
+	}
+}
+
+// who is the tenant that a request is bound to.
+type who struct {
+	tenant string
+	bound  bool
+}
+
+// sees says whether a message of a tenant is there for a request.
+func (w who) sees(tenant string) bool { return !w.bound || w.tenant == tenant }
+
+// authed asks for a token where tokens are set.
+func (f *Front) authed(next func(w http.ResponseWriter, r *http.Request, by who)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if f.opts.Tenant == nil {
+			next(w, r, who{})
+			return
+		}
+		const scheme = "Bearer "
+		head := r.Header.Get("Authorization")
+		if len(head) > len(scheme) && head[:len(scheme)] == scheme {
+			if tenant, ok := f.opts.Tenant(head[len(scheme):]); ok {
+				next(w, r, who{tenant, true})
+				return
+			}
+		}
+		w.Header().Set("WWW-Authenticate", `Bearer realm="cometrack"`)
+		problem{Status: http.StatusUnauthorized, Detail: "a token of a tenant is needed: Authorization: Bearer TOKEN"}.write(w)
+	}
+}
--- /dev/null
+++ b/internal/front/http/problem.go
@@ -0,0 +1,67 @@
+package httpfront
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cometrack/internal/core"
+)
+
+// problem is an error as RFC 9457 has it. Its type is about:blank, so that the
+// title is that of the status (section 4.2.1).
+type problem struct {
+	Title        string `json:"title"`
+	Status       int    `json:"status"`
+	Detail       string `json:"detail,omitempty"`
+	Field        string `json:"field,omitempty"`          // that is at fault
+	ID           string `json:"id,omitempty"`             // of the message
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"` // when to come again
+}
+
+func (p problem) write(w http.ResponseWriter) {
+	p.Title = http.StatusText(p.Status)
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	if p.RetryAfterMS > 0 { // whole seconds, rounded up (RFC 9110, section 10.2.3)
+		h.Set("Retry-After", strconv.FormatInt((p.RetryAfterMS+999)/1000, 10))
+	}
+	w.WriteHeader(p.Status)
+	json.NewEncoder(w).Encode(p)
+}
+
+func badField(field, detail string) *problem {
+	return &problem{Status: http.StatusBadRequest, Field: field, Detail: detail}
+}
+
+// problemOf turns an error of [core.Core.Check] into a problem.
+func problemOf(err error) *problem {
+	var f *core.FieldError
+	if errors.As(err, &f) {
+		return badField(f.Field, f.Reason)
+	}
+	return &problem{Status: http.StatusBadRequest, Detail: err.Error()}
+}
+
+// refusal is the problem that an answer stands for; nil if the message is taken on.
+func refusal(id string, a core.Answer) *problem {
+	switch a.Verdict {
+	case core.Accepted:
+		return nil
+	case core.Busy:
+		if a.After > 0 {
+			return &problem{Status: http.StatusTooManyRequests, ID: id, Detail: "turned away; nothing has been sent",
+				RetryAfterMS: (a.After + time.Millisecond - 1).Milliseconds()}
+		}
+		return &problem{Status: http.StatusServiceUnavailable, ID: id, Detail: "no room for the message; nothing has been sent"}
+	case core.NoPartner:
+		return &problem{Status: http.StatusBadRequest, ID: id, Field: "partner", Detail: "unknown partner"}
+	case core.Conflict:
+		return &problem{Status: http.StatusConflict, ID: id, Field: "id", Detail: "the id belongs to another message"}
+	case core.Stopped:
+		return &problem{Status: http.StatusServiceUnavailable, ID: id, Detail: "the sender is stopping; the message is not taken on"}
+	}
+	return &problem{Status: http.StatusUnprocessableEntity, ID: id, Detail: "the message has failed"}
+}
--- /dev/null
+++ b/internal/source/static/static.go
@@ -0,0 +1,54 @@
+// Package static is the source for endpoints that a configuration names.
+package static
+
+import (
+	"context"
+	"sync"
+
+	"cometrack/internal/core"
+)
+
+// Source tells one list until it is given another.
+type Source struct {
+	mu      sync.Mutex
+	list    core.List
+	version int
+	tell    func(core.News)
+}
+
+// New makes a source of a whole list.
+func New(list core.List) *Source { return &Source{list: list, version: 1} }
+
+// Watch tells the list, and each that follows.
+func (s *Source) Watch(_ context.Context, tell func(core.News)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tell == nil {
+		s.tell = tell
+		s.news()
+	}
+}
+
+// Set puts another whole list in the place of the one before.
+func (s *Source) Set(list core.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = list
+	s.version++
+	s.news()
+}
+
+// news tells the list; in a goroutine of its own, since the core may be busy with
+// the call that brought it here.
+func (s *Source) news() {
+	if s.tell != nil {
+		go s.tell(core.News{List: s.list, Epoch: s.version})
+	}
+}
+
+// Takes says whether no list has followed the one that was told.
+func (s *Source) Takes(n core.News) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return n.Epoch == s.version
+}
--- /dev/null
+++ b/internal/standin/partner/partner.go
@@ -0,0 +1,272 @@
+// Package partner is a scripted partner on loopback: it answers calls as its
+// script says, keeps its own record of what came, and judges the sender by it.
+package partner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Mode is how a partner answers for a while.
+type Mode int
+
+// The modes.
+const (
+	Well Mode = iota // 200 after its latency
+	Full             // turns everything away, with a wait where it tells waits
+	Dead             // nobody listens
+	Hang             // takes calls and answers none
+	Sick             // has run the call and answers 500
+)
+
+// Phase is a mode for a time.
+type Phase struct {
+	Mode Mode
+	For  time.Duration
+}
+
+// Options script a partner.
+type Options struct {
+	Name    string
+	Latency time.Duration
+	Rate    int           // calls in each window that it takes; 0 for any number
+	Window  time.Duration // 0 for a second
+	Wait    time.Duration // told with each refusal; 0 for none
+	Phases  []Phase       // gone through again and again; empty for well throughout
+}
+
+// Call is one call that came.
+type Call struct {
+	At      time.Time // its last byte
+	ID      string
+	Key     string
+	Ran     bool // it took effect, or would have but for a key seen before
+	Status  int  // 0 if it was not answered
+	InWait  bool // it came inside a wait that had been told more than Grace before
+	Overlap bool // another call with this message was still out
+}
+
+// Grace is how long after a wait is told a call is let through: it may have been
+// on its way.
+const Grace = 100 * time.Millisecond
+
+// Partner is one partner with one endpoint.
+type Partner struct {
+	opts  Options
+	start time.Time
+	addr  string
+
+	mu     sync.Mutex
+	mode   Mode
+	server *http.Server
+	calls  []Call
+	out    map[string]int // calls out, by message
+	told   time.Time      // when a wait was last told
+	until  time.Time      // when it ends
+	taken  []time.Time    // calls taken on, for the limit
+	stop   context.CancelFunc
+	done   chan struct{}
+	moded  chan struct{} // closed when the mode changes
+}
+
+// Start makes a partner listen on a free loopback port.
+func Start(opts Options) (*Partner, error) {
+	if opts.Window == 0 {
+		opts.Window = time.Second
+	}
+	p := &Partner{opts: opts, start: time.Now(), out: map[string]int{}, done: make(chan struct{}), moded: make(chan struct{})}
+	if err := p.listen("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	go p.run(ctx)
+	return p, nil
+}
+
+// Addr is where it listens while it is not dead.
+func (p *Partner) Addr() string { return p.addr }
+
+// Name is its name.
+func (p *Partner) Name() string { return p.opts.Name }
+
+func (p *Partner) listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	p.addr = ln.Addr().String()
+	s := &http.Server{Handler: http.HandlerFunc(p.serve), ReadHeaderTimeout: time.Minute}
+	p.mu.Lock()
+	p.server = s
+	p.mu.Unlock()
+	go s.Serve(ln)
+	return nil
+}
+
+// run goes through the phases.
+func (p *Partner) run(ctx context.Context) {
+	defer close(p.done)
+	for i := 0; len(p.opts.Phases) > 0; i++ {
+		ph := p.opts.Phases[i%len(p.opts.Phases)]
+		p.Set(ph.Mode)
+		t := time.NewTimer(ph.For)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+	}
+	<-ctx.Done()
+}
+
+// Set changes the mode.
+func (p *Partner) Set(m Mode) {
+	p.mu.Lock()
+	before := p.mode
+	p.mode = m
+	close(p.moded)
+	p.moded = make(chan struct{})
+	s := p.server
+	p.mu.Unlock()
+	switch {
+	case m == Dead && before != Dead:
+		s.Close()
+	case m != Dead && before == Dead:
+		for i := 0; p.listen(p.addr) != nil && i < 100; i++ { // the port may take a moment to be free
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// Close ends it.
+func (p *Partner) Close() {
+	p.stop()
+	<-p.done
+	p.mu.Lock()
+	s := p.server
+	p.mu.Unlock()
+	s.Close()
+}
+
+func (p *Partner) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/inbox" || r.Method != http.MethodPost {
+		http.NotFound(w, r)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // it did not come whole
+	}
+	c := Call{At: time.Now(), ID: r.Header.Get("X-Trace-Id"), Key: r.Header.Get("Idempotency-Key")}
+	p.mu.Lock()
+	mode, moded := p.mode, p.moded
+	c.Overlap = p.out[c.ID] > 0
+	p.out[c.ID]++
+	c.InWait = c.At.Before(p.until) && c.At.After(p.told.Add(Grace))
+	full := mode == Full || !p.takes(c.At)
+	n := len(p.calls)
+	p.calls = append(p.calls, c)
+	p.mu.Unlock()
+	status := p.answer(r.Context(), mode, full, moded, n)
+	p.mu.Lock()
+	p.out[c.ID]--
+	p.calls[n].Status = status
+	if status == http.StatusTooManyRequests {
+		p.told = time.Now()
+		p.until = p.told.Add(p.opts.Wait)
+	}
+	p.mu.Unlock()
+	if status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if status == http.StatusTooManyRequests {
+		w.Header().Set("X-Come-Back-Ms", strconv.FormatInt(p.opts.Wait.Milliseconds(), 10))
+	}
+	w.WriteHeader(status)
+}
+
+// takes counts a call against the limit. It is called under the lock.
+func (p *Partner) takes(at time.Time) bool {
+	if p.opts.Rate == 0 {
+		return true
+	}
+	p.taken = slices.DeleteFunc(p.taken, func(t time.Time) bool { return t.Before(at.Add(-p.opts.Window)) })
+	if len(p.taken) >= p.opts.Rate {
+		return false
+	}
+	p.taken = append(p.taken, at)
+	return true
+}
+
+func (p *Partner) answer(ctx context.Context, mode Mode, full bool, moded <-chan struct{}, n int) int {
+	if full && mode != Hang && mode != Dead {
+		if p.opts.Wait > 0 {
+			return http.StatusTooManyRequests
+		}
+		return http.StatusServiceUnavailable
+	}
+	p.mu.Lock()
+	p.calls[n].Ran = true
+	p.mu.Unlock()
+	switch mode {
+	case Hang:
+		select {
+		case <-ctx.Done():
+		case <-moded:
+		}
+		return 0
+	case Sick:
+		return http.StatusInternalServerError
+	}
+	if p.opts.Latency > 0 {
+		t := time.NewTimer(p.opts.Latency)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done(): // given up; it has run all the same
+			return 0
+		}
+	}
+	return http.StatusOK
+}
+
+// Calls lists what came, in order.
+func (p *Partner) Calls() []Call {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.calls)
+}
+
+// Faults lists what the sender has done that it must not: a second attempt while
+// one was out, a call inside a told wait, more calls than the rate in any window,
+// an unsafe message that ran twice. unsafe says which messages those are.
+func (p *Partner) Faults(unsafe func(id string) bool) []string {
+	calls := p.Calls()
+	var out []string
+	ran := map[string]int{}
+	for i, c := range calls {
+		if c.Overlap {
+			out = append(out, fmt.Sprintf("%s: %s had two attempts out", p.opts.Name, c.ID))
+		}
+		if c.InWait {
+			out = append(out, fmt.Sprintf("%s: %s came inside a wait", p.opts.Name, c.ID))
+		}
+		if c.Ran {
+			if ran[c.ID]++; ran[c.ID] == 2 && unsafe(c.ID) {
+				out = append(out, fmt.Sprintf("%s: %s ran twice", p.opts.Name, c.ID))
+			}
+		}
+		if k := p.opts.Rate; k > 0 && i >= k && c.At.Sub(calls[i-k].At) < p.opts.Window {
+			out = append(out, fmt.Sprintf("%s: %d calls within %v, rate %d", p.opts.Name, k+1, c.At.Sub(calls[i-k].At), k))
+		}
+	}
+	return out
+}
--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -60,6 +60,7 @@
 	OpDone                  // delivered, or over without our word
 	OpEnd                   // ended by us; the notice is owed
 	OpNoticed               // the notice is confirmed
+	OpWait                  // an endpoint has told to wait until At; ID is its name
 	OpEnded                 // what is remembered of one that is over; only in rewritten files
 )
 
@@ -95,7 +96,8 @@
 	// room for what becomes of those already taken on.
 	acceptPart = 0.6
 	// mostFile bounds a file where the platform sets no tighter limit; files count as memory.
-	mostFile = 16 << 20
+	mostFile  = 16 << 20
+	mostWaits = 10_000
 	// endedPart is the part of a file that remembered ends may fill.
 	endedPart = 0.2
 )
@@ -115,6 +117,7 @@
 	seq     int
 	entries map[string]*Entry
 	ended   *ended
+	waits   map[string]int64 // told waits: until when, Unix microseconds, by endpoint
 	opts    Options
 	dirty   bool // the file lacks something that entries has: rewrite before the next append
 }
@@ -122,7 +125,7 @@
 // Open replays the journal in dir, cuts a torn end off and makes it ready for
 // appending. Together its files stay under the bytes that opts allow.
 func Open(dir string, opts Options) (*Journal, error) {
-	j := &Journal{dir: dir, opts: opts, entries: map[string]*Entry{}, limit: min(opts.Disk*45/100, mostFile)}
+	j := &Journal{dir: dir, opts: opts, entries: map[string]*Entry{}, waits: map[string]int64{}, limit: min(opts.Disk*45/100, mostFile)}
 	if opts.Disk <= 0 {
 		j.limit = mostFile
 	}
@@ -192,6 +195,13 @@
 		j.entries[e.ID] = e
 		return
 	}
+	if rec.Op == OpWait {
+		j.waits[rec.ID] = rec.At
+		if len(j.waits) > mostWaits {
+			j.dropWaits(time.Now())
+		}
+		return
+	}
 	if rec.Op == OpEnded {
 		if rec.Ended != nil {
 			j.ended.add(rec.Ended)
@@ -246,6 +256,31 @@
 // Ended returns what is remembered of a message that is over; nil if nothing is.
 func (j *Journal) Ended(id string) *Ended { return j.ended.byID[id] }
 
+// Waits lists the waits that endpoints have told and that are not over: until when,
+// Unix time in microseconds, by the endpoint's name.
+func (j *Journal) Waits() map[string]int64 {
+	j.dropWaits(time.Now())
+	return j.waits
+}
+
+// dropWaits drops waits that are over, and above the bound those that end first.
+func (j *Journal) dropWaits(now time.Time) {
+	for name, until := range j.waits {
+		if until <= now.UnixMicro() {
+			delete(j.waits, name)
+		}
+	}
+	for len(j.waits) > mostWaits {
+		soonest := ""
+		for name, until := range j.waits {
+			if soonest == "" || until < j.waits[soonest] {
+				soonest = name
+			}
+		}
+		delete(j.waits, soonest)
+	}
+}
+
 // Forget drops ends whose time is up.
 func (j *Journal) Forget(now time.Time) { j.ended.forget(now) }
 
@@ -333,6 +368,13 @@
 			return err
 		}
 	}
+	j.dropWaits(time.Now())
+	for name, until := range j.waits {
+		var err error
+		if b, err = frame(b, Record{Op: OpWait, ID: name, At: until}); err != nil {
+			return err
+		}
+	}
 	if j.opts.SaveEnded {
 		for _, e := range j.ended.all() {
 			var err error
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,6 +74,9 @@
 	if err := check(&set); err != nil {
 		return nil, err
 	}
+	if set.Save == 0 {
+		set.Save = paceSave
+	}
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: math.MinInt64, askAt: never, askGap: askGap,
 		eps: map[EndpointID]*endpoint{}, dests: map[int64]*dest{}, msgs: map[string]*msg{},
 		keys: map[string]*keyLine{}, turned: map[int]float64{}}
@@ -476,7 +479,7 @@
 	if r == 0 {
 		return 0
 	}
-	l.tokens = min(l.tokens+r*seconds(s.now-l.filled), max(1, r*seconds(paceSave)))
+	l.tokens = min(l.tokens+r*seconds(s.now-l.filled), max(1, r*seconds(s.set.Save)))
 	l.filled = s.now
 	if l.tokens >= 1-1e-9 {
 		return 0
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -20,6 +20,8 @@
 		return bad("MaxTries")
 	case set.Tick < 0:
 		return bad("Tick")
+	case set.Save < 0:
+		return bad("Save")
 	case set.MaxRetryAfter < 0:
 		return bad("MaxRetryAfter")
 	case set.DrainGrace < 0 || set.KeyQuiet < 0 || set.FallWindow < 0 || set.WarmAfter < 0:
--- a/logic/state.go
+++ b/logic/state.go
@@ -353,7 +353,11 @@
 		return
 	}
 	if c.Class < 0 || c.Class >= len(s.set.Classes) {
-		s.do(Refuse{ID: c.ID})
+		if c.Past.MayRun {
+			s.do(Fail{ID: c.ID})
+		} else {
+			s.do(Refuse{ID: c.ID})
+		}
 		return
 	}
 	class := &s.set.Classes[c.Class]
@@ -446,6 +450,10 @@
 				s.cancel(m.out)
 			}
 		}
+	case Told:
+		if e := s.eps[ev.Endpoint]; e != nil {
+			e.lane.until = max(e.lane.until, s.now+ev.Left)
+		}
 	case Closing:
 		s.closeAt = s.now + ev.Left
 	case Due:
--- a/logic/types.go
+++ b/logic/types.go
@@ -77,7 +77,8 @@
 	MaxOpen    int // messages held at once; 0 for no limit
 	MaxTries   int // attempts for a message; 0 for no limit
 	Tick       Micros
-	OnRequest  bool // the endpoint list comes only when asked for
+	Save       Micros // what an idle pace saves up, as the time in which it would be sent; 0 for the default
+	OnRequest  bool   // the endpoint list comes only when asked for
 	Probing    bool
 	MayCancel  bool
 	RetryAfter bool // clients are given advice on when to come again
@@ -172,6 +173,12 @@
 	Zone   int    // zone of its endpoint
 }
 
+// Told says that a wait which an endpoint told before a restart goes on for Left.
+type Told struct {
+	Endpoint EndpointID
+	Left     Micros
+}
+
 // Closing says that the sender stops within Left: what cannot finish by then is
 // not to be begun.
 type Closing struct{ Left Micros }
@@ -232,6 +239,7 @@
 func (Due) isEvent()          {}
 func (HealthResult) isEvent() {}
 func (Closing) isEvent()      {}
+func (Told) isEvent()         {}
 
 // Action is something to do: one of the types below.
 type Action interface{ isAction() }
