Test the standalone daemon's hard cases on both ports

Need: the two ports had no tests of clients that break off, of one id raced on both, of floods and of reordered files.

Change: such tests against scripted partners that keep their own record; end sinks have tests of their own. A pace holds over a restart, and daemons that share partners take even parts of rates and quotas.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -19,9 +19,11 @@
 
 var effectOf = map[string]logic.Effect{"safe": logic.Safe, "keyed": logic.Keyed, "unsafe": logic.Unsafe}
 
-// Settings are the module's.
+// Settings are the module's. Daemons that share partners each work as if alone
+// with an even part of every rate and quota: so the parts add up whatever the
+// others do.
 func (f *File) Settings() logic.Settings {
-	s := logic.Settings{Senders: f.Senders, Zones: len(f.Zones), Slots: f.Limits.Slots, MaxOpen: f.Limits.OpenMessages,
+	s := logic.Settings{Senders: 1, Zones: len(f.Zones), Slots: f.Limits.Slots, MaxOpen: f.Limits.OpenMessages,
 		MaxTries: f.Limits.Attempts, Tick: logic.Micros(time.Millisecond / time.Microsecond), OnRequest: true, MayCancel: true,
 		RetryAfter: true, Halves: true, Weights: logic.WeightsNominal, Save: logic.Micros(pacing / time.Microsecond),
 		ConnIdle: micros(f.Transport.HTTP.Idle), ConnCalls: 1, MaxRetryAfter: micros(f.Limits.RetryAfter), OverShareWorth: 0.2,
@@ -38,7 +40,7 @@
 			LateWorth: c.LateWorth, Effect: effectOf[c.Effect], ByZone: c.ByZone, Window: micros(c.Window), KeepOrder: c.Order})
 	}
 	for _, t := range f.Tenants {
-		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.Name, QuotaRPS: t.Quota})
+		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.Name, QuotaRPS: t.Quota / float64(f.Senders)})
 	}
 	for _, k := range f.Kinds {
 		s.Kinds = append(s.Kinds, logic.Kind{Name: k.Name, Apart: k.Routes == "apart", Batch: 1})
@@ -52,7 +54,7 @@
 func (f *File) List() core.List {
 	out := core.List{Whole: true}
 	for _, p := range f.Partners {
-		weight := p.Rate / (1 + pacing.Seconds() + slack)
+		weight := p.Rate / float64(f.Senders) / (1 + pacing.Seconds() + slack)
 		for _, e := range p.Endpoints {
 			row := core.Endpoint{Name: e.Name, Addr: e.Address, Zone: e.Zone, Kind: p.Kind, Partner: p.Name, Weight: weight}
 			if e.Drain {
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -80,7 +80,7 @@
 	rand.Read(seed[:])
 	var err error
 	s.core, err = core.New(core.Config{Name: f.Name, Settings: f.Settings(), Seed: binary.LittleEndian.Uint64(seed[:]), Zones: f.Zones,
-		Known: &list, TellDelivered: true}, core.Parts{Store: journal, Transport: transport, Source: s.source, Sink: sink, Log: log})
+		Known: &list, TellDelivered: true, KeepWaits: true}, core.Parts{Store: journal, Transport: transport, Source: s.source, Sink: sink, Log: log})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/daemon/standalone_test.go
@@ -0,0 +1,420 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/redis/go-redis/v9"
+
+	"cometrack/internal/config"
+	"cometrack/internal/sink"
+	"cometrack/internal/standin/byhand"
+	"cometrack/internal/standin/partner"
+	"cometrack/internal/store"
+)
+
+// fileText is a file with both fronts on free ports and the partners given.
+func fileText(dir, more string, partners ...*partner.Partner) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "state = %q\n%s\n[front.http]\nlisten = \"127.0.0.1:0\"\n[front.resp]\nlisten = \"127.0.0.1:0\"\n", dir, more)
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		fmt.Fprintf(&b, "[[class]]\nname = %q\neffect = %q\naim = \"2s\"\ndeadline = \"20s\"\n", class, class)
+	}
+	for _, p := range partners {
+		fmt.Fprintf(&b, "[[partner]]\nname = %q\nendpoints = [%q]\n", p.Name(), p.Addr())
+		if p.Rate() > 0 {
+			fmt.Fprintf(&b, "rate = %d\n", p.Rate())
+		}
+	}
+	return b.String()
+}
+
+func startPartner(t *testing.T, opts partner.Options) *partner.Partner {
+	t.Helper()
+	p, err := partner.Start(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// alone is a standalone daemon in this process.
+type alone struct {
+	*Standalone
+	t    *testing.T
+	stop context.CancelFunc
+	done chan error
+}
+
+func startAlone(t *testing.T, text string) *alone {
+	t.Helper()
+	f, err := config.Parse("test.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := NewStandalone(f, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	a := &alone{Standalone: s, t: t, stop: stop, done: make(chan error, 1)}
+	go func() { a.done <- s.Run(ctx, nil, nil) }()
+	t.Cleanup(stop)
+	closed(t, s.core.Ready(), "ready daemon")
+	return a
+}
+
+func (a *alone) halt() {
+	a.t.Helper()
+	a.stop()
+	if err := byhand.Await(a.t, a.done, "end of the daemon"); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// state asks over HTTP; empty if nothing is known.
+func state(t *testing.T, addr, id, wait string) string {
+	t.Helper()
+	s, err := askState(addr, id, wait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func askState(addr, id, wait string) (string, error) {
+	resp, err := http.Get("http://" + addr + "/v1/messages/" + url.PathEscape(id) + "?wait=" + wait)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	var s struct{ State string }
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		return "", nil
+	case http.StatusOK:
+		err := json.NewDecoder(resp.Body).Decode(&s)
+		return s.State, err
+	}
+	return "", fmt.Errorf("state of %s: %s", id, resp.Status)
+}
+
+// respState asks over RESP2.
+func respState(t *testing.T, c *client, id string) string {
+	t.Helper()
+	c.send("MSG.STATE", id)
+	head := c.line()
+	n := 0
+	if _, err := fmt.Sscanf(head, "*%d", &n); err != nil {
+		t.Fatalf("MSG.STATE %s: %q", id, head)
+	}
+	said := map[string]string{}
+	for range n / 2 {
+		c.line()
+		name := c.line()
+		c.line()
+		said[name] = c.line()
+	}
+	return said["state"]
+}
+
+// A client that disconnects after any byte of its submission, on either port: the message was taken or it was not,
+// the other port says which, and what the partner saw agrees.
+func TestDisconnectAfterEveryByte(t *testing.T) {
+	p := startPartner(t, partner.Options{Name: "acme"})
+	a := startAlone(t, fileText(t.TempDir(), "", p))
+	ports := map[string]string{"http": a.HTTPAddr(), "resp": a.RESPAddr()}
+	requests := map[string]func(id string) string{
+		"http": func(id string) string {
+			return "POST /v1/messages?partner=acme&class=unsafe&id=" + id + " HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
+		},
+		"resp": func(id string) string {
+			opts := "c=unsafe,d=20000,dest=acme"
+			return fmt.Sprintf("*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$5\r\nhello\r\n", len(id), id, len(opts), opts)
+		},
+	}
+	whole := map[string]bool{}
+	var ids []string
+	for _, port := range []string{"http", "resp"} {
+		last := len(requests[port]("http-r-0000"))
+		for n := range last + 1 {
+			for _, how := range []string{"f", "r"} { // by FIN, by reset
+				id := fmt.Sprintf("%s-%s-%04d", port, how, n)
+				conn, err := net.Dial("tcp", ports[port])
+				if err != nil {
+					t.Fatal(err)
+				}
+				io.WriteString(conn, requests[port](id)[:n])
+				if how == "r" {
+					conn.(*net.TCPConn).SetLinger(0)
+				}
+				conn.Close()
+				ids = append(ids, id)
+				if n == last && how == "f" { // all of it has come to the daemon
+					whole[id] = true
+				}
+			}
+		}
+	}
+	c := dial(t, a.RESPAddr())
+	for id := range whole {
+		for stop := time.Now().Add(byhand.Patience); state(t, a.HTTPAddr(), id, "10s") != "delivered"; {
+			if time.Now().After(stop) {
+				t.Fatalf("%s is %q", id, state(t, a.HTTPAddr(), id, "0s"))
+			}
+		}
+		if s := respState(t, c, id); s != "delivered" {
+			t.Errorf("%s: %q on the other port", id, s)
+		}
+	}
+	known := map[string]bool{}
+	for _, id := range ids {
+		s := state(t, a.HTTPAddr(), id, "10s")
+		if s != "" && s != "delivered" {
+			t.Errorf("%s is %s", id, s)
+		}
+		cut := !whole[id] && !strings.Contains(id, fmt.Sprintf("%04d", len(requests[id[:4]](id))))
+		if s != "" && cut {
+			t.Errorf("%s was taken on from a part of its request", id)
+		}
+		known[id] = s != ""
+	}
+	c.Conn.Close()
+	a.halt()
+	ran := map[string]int{}
+	for _, call := range p.Calls() {
+		ran[call.ID]++
+	}
+	for _, id := range ids {
+		if (ran[id] == 1) != known[id] || ran[id] > 1 {
+			t.Errorf("%s: known %v, ran %d times", id, known[id], ran[id])
+		}
+	}
+}
+
+// The same id raced on both ports is one message; another one under its id is refused on both.
+func TestSameIDOnBothPorts(t *testing.T) {
+	p := startPartner(t, partner.Options{Name: "acme"})
+	a := startAlone(t, fileText(t.TempDir(), "", p))
+	c := dial(t, a.RESPAddr())
+	post := func(id, body string) int {
+		resp, err := http.Post("http://"+a.HTTPAddr()+"/v1/messages?partner=acme&class=unsafe&left=20s&id="+id, "", strings.NewReader(body))
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	const many = 1000
+	for i := range many {
+		id := fmt.Sprint("m", i)
+		status := make(chan int, 1)
+		asked := make(chan string, 1)
+		go func() { status <- post(id, "same") }()
+		go func() {
+			s, _ := askState(a.HTTPAddr(), id, "0s")
+			asked <- s
+		}()
+		if got := c.do("MSG.PUT", "0", id, "c=unsafe,d=20000,dest=acme", "same"); got != "+OK" {
+			t.Fatalf("%s: %q", id, got)
+		}
+		if got := <-status; got != 202 {
+			t.Fatalf("%s: %d", id, got)
+		}
+		if s := <-asked; !slices.Contains([]string{"", "accepted", "sending", "delivered"}, s) {
+			t.Fatalf("%s was %q", id, s)
+		}
+		if i%100 == 0 {
+			if got := post(id, "other"); got != http.StatusConflict {
+				t.Errorf("another message: %d", got)
+			}
+			if got := c.do("MSG.PUT", "0", id, "c=unsafe,d=20000,dest=acme", "other"); got != "-ERR id belongs to another message" {
+				t.Errorf("another message: %q", got)
+			}
+			if x, y := state(t, a.HTTPAddr(), id, "10s"), respState(t, c, id); x != "delivered" || y != x {
+				t.Errorf("%s is %q and %q", id, x, y)
+			}
+		}
+	}
+	c.Conn.Close()
+	a.halt()
+	if n := len(p.Calls()); n != many {
+		t.Errorf("%d calls for %d messages", n, many)
+	}
+	if f := p.Faults(func(string) bool { return true }); f != nil {
+		t.Errorf("faults: %v", f)
+	}
+}
+
+// A front that is flooded, with work that is refused and with work that fills its part of the hold, leaves the other
+// one its part.
+func TestFairness(t *testing.T) {
+	steady := startPartner(t, partner.Options{Name: "steady"})
+	stuck := startPartner(t, partner.Options{Name: "stuck", Phases: []partner.Phase{{Mode: partner.Dead, For: time.Hour}}})
+	a := startAlone(t, fileText(t.TempDir(), "[limits]\nopen_messages = 100\ndescriptors = 256\n", steady, stuck))
+	flood, stop := context.WithCancel(t.Context())
+	defer stop()
+	refused := make(chan int, 1<<16)
+	for k := range 50 {
+		go func() {
+			c := &http.Client{Transport: &http.Transport{}}
+			for n := 0; flood.Err() == nil; n++ {
+				to := []string{"nobody", "stuck"}[n%2]
+				resp, err := c.Post(fmt.Sprintf("http://%s/v1/messages?partner=%s&class=safe&id=f-%d-%d", a.HTTPAddr(), to, k, n), "", nil)
+				if err == nil {
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+					if resp.StatusCode == http.StatusServiceUnavailable {
+						select {
+						case refused <- resp.StatusCode:
+						default:
+						}
+					}
+				}
+			}
+		}()
+	}
+	for range 200 { // the flooding front's part of the hold is full
+		byhand.Await(t, refused, "message turned away")
+	}
+	c := dial(t, a.RESPAddr())
+	for i := range 50 { // as many as its part holds; unknown time passes between
+		if got := c.do("MSG.PUT", "0", fmt.Sprint("r-", i), "c=unsafe,d=20000,dest=steady", "x"); got != "+OK" {
+			t.Fatalf("message %d through the other front: %q", i, got)
+		}
+	}
+	for i := range 50 {
+		id := fmt.Sprint("r-", i)
+		for deadline := time.Now().Add(byhand.Patience); respState(t, c, id) != "delivered"; {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s is %q", id, respState(t, c, id))
+			}
+		}
+	}
+}
+
+// Client libraries work as they come.
+func TestGoRedis(t *testing.T) {
+	p := startPartner(t, partner.Options{Name: "acme"})
+	a := startAlone(t, fileText(t.TempDir(), "", p))
+	c := redis.NewClient(&redis.Options{Addr: a.RESPAddr()})
+	defer c.Close()
+	if s, err := c.Ping(t.Context()).Result(); err != nil || s != "PONG" {
+		t.Fatalf("%q, %v", s, err)
+	}
+	if s, err := c.Do(t.Context(), "MSG.PUT", "0", "a", "c=safe,d=20000,dest=acme", "x").Text(); err != nil || s != "OK" {
+		t.Fatalf("%q, %v", s, err)
+	}
+	state(t, a.HTTPAddr(), "a", "10s")
+	s, err := c.Do(t.Context(), "MSG.STATE", "a").StringSlice()
+	if err != nil || len(s) < 2 || s[0] != "state" || s[1] != "delivered" {
+		t.Errorf("%q, %v", s, err)
+	}
+	if err := c.Do(t.Context(), "MSG.PUT", "0", "b", "c=none,d=20000,dest=acme", "x").Err(); err == nil || !strings.Contains(err.Error(), "class") {
+		t.Errorf("%v", err)
+	}
+}
+
+// The journal names partners and classes: a file in another order, or without one of them, sends no held message
+// elsewhere, and one whose partner or class is gone has its one end.
+func TestJournalByName(t *testing.T) {
+	dead := func(name string) *partner.Partner {
+		return startPartner(t, partner.Options{Name: name, Phases: []partner.Phase{{Mode: partner.Dead, For: time.Hour}}})
+	}
+	one, two, three := dead("one"), dead("two"), dead("three")
+	dir := t.TempDir()
+	a := startAlone(t, fileText(dir, "", one, two, three))
+	c := dial(t, a.RESPAddr())
+	for _, x := range [][2]string{{"one", "safe"}, {"two", "unsafe"}, {"three", "keyed"}, {"one", "keyed"}} {
+		if got := c.do("MSG.PUT", "0", x[0]+"-"+x[1], "c="+x[1]+",d=20000,k=k,dest="+x[0], "x"); got != "+OK" {
+			t.Fatal(got)
+		}
+	}
+	c.Conn.Close()
+	a.halt()
+	one.Set(partner.Well)
+	two.Set(partner.Well)
+	text := fileText(dir, "", two, one) // in another order, and three is gone
+	keyed := strings.Index(text, "[[class]]\nname = \"keyed\"")
+	unsafe := strings.Index(text, "[[class]]\nname = \"unsafe\"")
+	partners := strings.Index(text, "[[partner]]")
+	text = text[:keyed] + text[partners:] + text[unsafe:partners] // the class keyed is gone, unsafe comes last
+	a = startAlone(t, text)
+	for id, want := range map[string]string{"one-safe": "delivered", "two-unsafe": "delivered", "three-keyed": "returned", "one-keyed": "returned"} {
+		if got := state(t, a.HTTPAddr(), id, "19s"); got != want {
+			t.Errorf("%s is %q, want %s", id, got, want)
+		}
+	}
+	a.halt()
+	for _, p := range []*partner.Partner{one, two} {
+		for _, call := range p.Calls() {
+			if call.ID != map[string]string{"one": "one-safe", "two": "two-unsafe"}[p.Name()] {
+				t.Errorf("%s got %s", p.Name(), call.ID)
+			}
+		}
+	}
+	j, err := store.Open(dir, store.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	if n := j.Len(); n != 0 {
+		t.Errorf("%d messages are still owed something", n)
+	}
+}
+
+// Ends reach the file whatever becomes of the messages, each once while the daemon lives.
+func TestEndFile(t *testing.T) {
+	p := startPartner(t, partner.Options{Name: "acme"})
+	sick := startPartner(t, partner.Options{Name: "sick", Phases: []partner.Phase{{Mode: partner.Sick, For: time.Hour}}})
+	dir := t.TempDir()
+	path := filepath.Join(dir, "ends.jsonl")
+	a := startAlone(t, fileText(dir, fmt.Sprintf("[sink.file]\npath = %q\n", path), p, sick))
+	c := dial(t, a.RESPAddr())
+	for _, to := range []string{"acme", "sick"} {
+		if got := c.do("MSG.PUT", "0", "to-"+to, "c=unsafe,d=20000,dest="+to, "x"); got != "+OK" {
+			t.Fatal(got)
+		}
+		state(t, a.HTTPAddr(), "to-"+to, "10s")
+	}
+	c.Conn.Close()
+	a.halt()
+	got := map[string]int{}
+	for _, l := range readEnds(t, path) {
+		got[l.ID+" "+l.State+" "+l.Partner]++
+	}
+	if len(got) != 2 || got["to-acme delivered acme"] != 1 || got["to-sick failed sick"] != 1 {
+		t.Errorf("%v", got)
+	}
+}
+
+func readEnds(t *testing.T, path string) (list []sink.Line) {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		var l sink.Line
+		if err := json.Unmarshal([]byte(line), &l); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		list = append(list, l)
+	}
+	return list
+}
