--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -116,7 +116,6 @@
 	}
 	now := time.Now().UnixMicro()
 	if c.cfg.KeepWaits {
-		c.restAfterRestart()
 		for name, until := range c.store.Waits() {
 			if id, ok := c.dir.ids[name]; ok {
 				c.next = append(c.next, logic.Told{Endpoint: id, Left: logic.Micros(until - now)})
@@ -146,20 +145,6 @@
 	}
 }
 
-// restAfterRestart keeps each pace over a restart: what was sent just before it is
-// not known, so that the first call comes no sooner than the pace allows after one.
-func (c *Core) restAfterRestart() {
-	if c.cfg.Known == nil || c.store.Fresh() {
-		return
-	}
-	for _, e := range c.cfg.Known.Endpoints {
-		if e.Weight > 0 {
-			c.next = append(c.next, logic.Told{Endpoint: c.dir.ids[e.Name],
-				Left: logic.Micros(float64(logic.Second) / e.Weight)})
-		}
-	}
-}
-
 // callOf is the module's view of a message.
 func (c *Core) callOf(m *message.Message, now int64) logic.Call {
 	in := logic.Call{ID: m.ID, Key: m.Order, Left: logic.Micros(m.Deadline - now), Dest: c.dir.partner(m.Partner).dest,
--- /dev/null
+++ b/internal/core/restart_test.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/internal/store"
+	"cometrack/logic"
+)
+
+// kill ends a core as a crash would: what is out has no outcome, and nobody is asked.
+func (r *rig) kill() {
+	r.t.Helper()
+	r.stop()
+	r.store.Close()
+}
+
+// A wait that was told before a restart is heeded after it.
+func TestWaitOutlivesRestart(t *testing.T) {
+	dir, cfg := t.TempDir(), testConfig()
+	cfg.KeepWaits = true
+	r := newRig(t, dir, cfg).run()
+	r.put(newMessage("a", "unsafe"))
+	in := await(t, r.hand.attempts, "attempt")
+	const wait = 1500 * time.Millisecond
+	told := time.Now()
+	in.result <- Result{Outcome: logic.Full, Wait: wait}
+	for r.state("a") != StateAccepted { // until the outcome is in the journal
+	}
+	r.kill()
+	r = newRig(t, dir, cfg).run()
+	await(t, r.hand.attempts, "attempt after the restart").result <- Result{Outcome: logic.Completed}
+	if d := time.Since(told); d < wait {
+		t.Errorf("sent again %v after a wait of %v was told", d, wait)
+	}
+	if x := await(t, r.ends.told, "end"); x.State != message.Delivered || x.Tries != 2 {
+		t.Errorf("told %+v", x)
+	}
+	r.ends.confirm <- "a"
+	r.halt()
+}
+
+// What was sent right before a restart is not known after it: a pace saves
+// nothing up from before the start, so that the first call comes after one span of it.
+func TestPaceHoldsOverRestart(t *testing.T) {
+	dir, cfg := t.TempDir(), testConfig()
+	cfg.KeepWaits = true
+	cfg.Known.Endpoints[0].Weight = 2
+	r := newRig(t, dir, cfg).run()
+	r.put(newMessage("a", "unsafe"))
+	await(t, r.hand.attempts, "attempt").result <- Result{Outcome: logic.Completed}
+	await(t, r.ends.told, "end")
+	r.ends.confirm <- "a"
+	r.halt()
+	start := time.Now()
+	r = newRig(t, dir, cfg).run()
+	r.put(newMessage("b", "unsafe"))
+	await(t, r.hand.attempts, "attempt after the restart").result <- Result{Outcome: logic.Completed}
+	if d := time.Since(start); d < 500*time.Millisecond {
+		t.Errorf("sent %v after the restart, at 2 a second", d)
+	}
+	await(t, r.ends.told, "end")
+	r.ends.confirm <- "b"
+	r.halt()
+}
+
+// A message whose class is not configured any more ends by its past, at once.
+func TestVanishedClass(t *testing.T) {
+	dir := t.TempDir()
+	j, err := store.Open(dir, store.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	never, may := newMessage("never", "gone"), newMessage("may", "gone")
+	if err := j.Append([]store.Record{{Op: store.OpAccept, Entry: &store.Entry{Message: *never}}, {Op: store.OpAccept, Entry: &store.Entry{Message: *may}},
+		{Op: store.OpSend, ID: "may", At: 1, Zone: "a"}}); err != nil {
+		t.Fatal(err)
+	}
+	j.Close()
+	r := newRig(t, dir, testConfig()).run()
+	for range 2 {
+		x := await(t, r.ends.told, "end")
+		if want := map[string]string{"never": message.Returned, "may": message.Failed}[x.ID]; x.State != want {
+			t.Errorf("%s is %s, want %s", x.ID, x.State, want)
+		}
+		r.ends.confirm <- x.ID
+	}
+	r.halt()
+}
+
+// A front may fill no more than the hold less what is kept for the others.
+func TestDoorShares(t *testing.T) {
+	cfg := testConfig() // holds 8
+	r := newRig(t, t.TempDir(), cfg)
+	a, b := r.Door(2), r.Door(2)
+	taken := 0
+	for a.open = 0; r.roomFor(a) && taken < 100; taken++ {
+		a.open++
+		r.open++
+	}
+	if taken != 6 {
+		t.Errorf("one front holds %d of 8", taken)
+	}
+	for r.roomFor(b) && taken < 100 {
+		b.open++
+		r.open++
+		taken++
+	}
+	if b.open != 2 {
+		t.Errorf("the other one has room for %d", b.open)
+	}
+}
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -145,7 +145,6 @@
 	Entries() []*store.Entry
 	Ended(id string) *store.Ended
 	Waits() map[string]int64
-	Fresh() bool // nothing was in it when it was opened
 	Forget(now time.Time)
 	Len() int
 	Close() error
--- a/internal/daemon/standalone_test.go
+++ b/internal/daemon/standalone_test.go
@@ -418,3 +418,43 @@
 	}
 	return list
 }
+
+// A thousand clients that wait for one message's end all hear of it, and meanwhile others are served.
+func TestThousandLongPolls(t *testing.T) {
+	p := startPartner(t, partner.Options{Name: "acme"})
+	p.Set(partner.Hang)
+	a := startAlone(t, fileText(t.TempDir(), "[limits]\ndescriptors = 8192\n", p))
+	c := dial(t, a.RESPAddr())
+	if got := c.do("MSG.PUT", "0", "a", "c=safe,d=20000,dest=acme", "x"); got != "+OK" {
+		t.Fatal(got)
+	}
+	const many = 1000
+	got := make(chan string, many)
+	for range many {
+		go func() {
+			s, err := askState(a.HTTPAddr(), "a", "20s")
+			if err != nil {
+				s = err.Error()
+			}
+			got <- s
+		}()
+	}
+	for stop := time.Now().Add(byhand.Patience); a.http.Waiting() < many; {
+		if time.Now().After(stop) {
+			t.Fatalf("%d wait", a.http.Waiting())
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if s := respState(t, c, "a"); s != "sending" {
+		t.Errorf("meanwhile the other port says %q", s)
+	}
+	if s := state(t, a.HTTPAddr(), "other", "0s"); s != "" {
+		t.Errorf("meanwhile the same port says %q", s)
+	}
+	p.Set(partner.Well)
+	for range many {
+		if s := byhand.Await(t, got, "end"); s != "delivered" {
+			t.Fatalf("told %q", s)
+		}
+	}
+}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -148,6 +148,9 @@
 // Addr is where the front listens.
 func (f *Front) Addr() net.Addr { return f.ln.Addr() }
 
+// Waiting is the number of long-polls that wait.
+func (f *Front) Waiting() int { return len(f.polls) }
+
 // Serve takes clients until CloseListener.
 func (f *Front) Serve() {
 	var ln net.Listener = &listener{f.ln, f}
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -576,3 +576,26 @@
 		t.Errorf("spoken without TLS: %s", resp.Proto)
 	}
 }
+
+// A client that does not read its stream is closed after a while; until then it holds up nobody.
+func TestSlowReader(t *testing.T) {
+	f, base := newFront(t, &scripted{}, func(o *Options) { o.Stream = NewStream(1000) })
+	slow := dialRaw(t, base, "GET /v1/ends HTTP/1.1\r\nHost: x\r\n\r\n")
+	slow.SetReadBuffer(4096)
+	fast := follow(t, base, "")
+	partner := strings.Repeat("p", 128)
+	const many = 100_000 // far more than the buffers between hold
+	go func() {
+		for i := range many {
+			f.opts.Stream.Add(&message.Message{Partner: partner}, message.End{ID: fmt.Sprint(i), State: message.Delivered})
+		}
+	}()
+	for e := fast.next(); !strings.Contains(e.data, fmt.Sprintf(`"id":"%d"`, many-1)); e = fast.next() {
+	}
+	for stop := time.Now().Add(2 * patience); len(f.streams) > 1; {
+		if time.Now().After(stop) {
+			t.Fatal("the slow reader stays")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/front/http/places.go
+++ b/internal/front/http/places.go
@@ -49,12 +49,6 @@
 	return true
 }
 
-func (p *places) leave(c net.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.conns, c)
-}
-
 // note follows the server's connections.
 func (p *places) note(c net.Conn, state http.ConnState) {
 	type wrapped interface{ NetConn() net.Conn }
--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -119,7 +119,6 @@
 	ended   *ended
 	waits   map[string]int64 // told waits: until when, Unix microseconds, by endpoint
 	opts    Options
-	fresh   bool
 	dirty   bool // the file lacks something that entries has: rewrite before the next append
 }
 
@@ -146,7 +145,6 @@
 		f.Close()
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	j.fresh = j.size == 0
 	j.file = f
 	return j, nil
 }
@@ -418,9 +416,6 @@
 // Entry returns what is known of a message; nil if nothing is owed for it.
 func (j *Journal) Entry(id string) *Entry { return j.entries[id] }
 
-// Fresh says that nothing was in the file when it was opened.
-func (j *Journal) Fresh() bool { return j.fresh }
-
 // Len is the number of messages that something is owed for.
 func (j *Journal) Len() int { return len(j.entries) }
 
