Let the slow reader's test send more than the buffers hold

Cause: the kept window was smaller than what the sockets buffer, so that the reader never fell behind. Change: a window that holds all of it. Result: the slow reader is closed after its ten seconds, and the test passes.

--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -579,7 +579,7 @@
 
 // A client that does not read its stream is closed after a while; until then it holds up nobody.
 func TestSlowReader(t *testing.T) {
-	f, base := newFront(t, &scripted{}, func(o *Options) { o.Stream = NewStream(1000) })
+	f, base := newFront(t, &scripted{}, func(o *Options) { o.Stream = NewStream(200_000) })
 	slow := dialRaw(t, base, "GET /v1/ends HTTP/1.1\r\nHost: x\r\n\r\n")
 	slow.SetReadBuffer(4096)
 	fast := follow(t, base, "")
