Reread certificates when they change, and say which held messages have no partner

Need: a renewed certificate must not wait for a signal, and a message whose partner is gone is to leave a line in the log.

Change: both; cmd/measure takes memory and start-up of the platform's sender.

--- /dev/null
+++ b/cmd/measure/platform.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+// platformSettings are those of a small deployment, as the platform would tell them.
+const platformSettings = `{"balancers":1,"me":0,"zone":0,"zones":["a"],"tick_s":0.005,"membership_mode":"on_request","weights":"nominal",
+"over_share_worth":0.2,"machine_types":["std"],"classes":[{"name":"c","aim_s":2,"deadline_s":16,"worth":1,"late_worth":0.4,"idempotency":"retryable"}],
+"tenants":[],"limits":{"conn_idle_s":10,"connect_timeout_s":1.5,"max_attempts":6,"max_open":500,"max_retry_after_s":2,"multiplex":1,"may_cancel":true,
+"retry_after":true},"rules":{"cold_from":0.2,"drain_grace_s":2,"fall_multiple":2,"fall_s":3,"warm_after_s":14},
+"specifics":{"batch_by_kind":[1],"call_slots":60,"late":"halves","separate_routes":[false]}}`
+
+// platform measures start-up and memory of the platform's sender for several
+// programs, in turns: fresh, and after a number of messages.
+func platform(args []string) error {
+	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
+	turns := fs.Int("turns", 7, "how often each program is measured")
+	messages := fs.Int("messages", 5000, "messages handed in before the second look at memory")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	hole, err := startSinkhole()
+	if err != nil {
+		return err
+	}
+	known := map[string]any{"generation": 1, "reset": true, "instances": []map[string]any{{"instanceId": "s-1", "hostPort": hole.ln.Addr().String(),
+		"zone": "a", "machineType": "std", "cell": 1, "lifecycle": "up", "weight": 0}}}
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/discovery") {
+			<-r.Context().Done()
+		}
+	}))
+	defer discovery.Close()
+	type figures struct{ start, fresh, used []float64 }
+	all := map[string]*figures{}
+	for range *turns {
+		for _, bin := range fs.Args() {
+			if all[bin] == nil {
+				all[bin] = &figures{}
+			}
+			dir, err := os.MkdirTemp("", "measure")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			conf, err := json.Marshal(map[string]any{"name": "n", "listen": "127.0.0.1:0", "discovery": strings.TrimPrefix(discovery.URL, "http://"), "seed": "1",
+				"limits": map[string]any{"cores": 1, "memory_mb": 32, "sockets": 256, "disk_mb": 3}, "known": known, "settings": json.RawMessage(platformSettings)})
+			if err != nil {
+				return err
+			}
+			path := filepath.Join(dir, "config.json")
+			if err := os.WriteFile(path, conf, 0o600); err != nil {
+				return err
+			}
+			cmd := exec.Command(bin)
+			cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_STATE="+dir, "BALANCER_LISTEN=127.0.0.1:0")
+			logs, err := cmd.StderrPipe()
+			if err != nil {
+				return err
+			}
+			at := time.Now()
+			if err := cmd.Start(); err != nil {
+				return err
+			}
+			s := bufio.NewScanner(logs)
+			addr := ""
+			for addr == "" && s.Scan() {
+				if _, rest, ok := strings.Cut(s.Text(), "addr="); ok {
+					addr, _, _ = strings.Cut(rest, " ")
+				}
+			}
+			p := &process{cmd: cmd, dir: dir}
+			f := all[bin]
+			f.start = append(f.start, float64(time.Since(at).Microseconds())/1000)
+			f.fresh = append(f.fresh, p.memory())
+			if err := handIn(addr, *messages); err != nil {
+				return fmt.Errorf("%s: %w", bin, err)
+			}
+			f.used = append(f.used, p.memory())
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	}
+	median := func(v []float64) float64 {
+		slices.Sort(v)
+		return v[len(v)/2]
+	}
+	fmt.Printf("%-28s %14s %14s %20s\n", "program", "ready in, ms", "fresh, MB", "after messages, MB")
+	for _, bin := range fs.Args() {
+		f := all[bin]
+		fmt.Printf("%-28s %14.1f %14.2f %20.2f\n", filepath.Base(filepath.Dir(bin))+"/"+filepath.Base(bin), median(f.start), median(f.fresh), median(f.used))
+	}
+	return nil
+}
+
+// handIn hands messages in over RESP2, one after the other.
+func handIn(addr string, n int) error {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for i := range n {
+		id := fmt.Sprintf("%016x", i)
+		opts := "c=c,d=12000,dest=1"
+		fmt.Fprintf(c, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(id), id, len(opts), opts, len(body), body)
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		if !strings.HasPrefix(line, "+OK") {
+			return fmt.Errorf("message %d: %q", i, line)
+		}
+	}
+	return nil
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -122,6 +122,7 @@
 			}
 		}
 	}
+	orphans := map[string]int{}
 	for _, e := range c.store.Entries() {
 		if e.End != nil {
 			c.sink.Add(&e.Message, *e.End)
@@ -135,6 +136,9 @@
 			in.Past.Age = logic.Micros(max(now-e.FirstMay, 0))
 			in.Past.Zone = slices.Index(c.cfg.Zones, e.FirstZone)
 		}
+		if c.cfg.Known != nil && !c.dir.serves(e.Partner) {
+			orphans[e.Partner]++
+		}
 		if in.Class < 0 {
 			c.log.Error("a held message is of a class that is not configured", "id", e.ID, "class", e.Class)
 		}
@@ -143,6 +147,9 @@
 		}
 		c.next = append(c.next, in)
 	}
+	for name, n := range orphans {
+		c.log.Warn("held messages are for a partner that is not known; they are kept until their time is up", "partner", name, "messages", n)
+	}
 }
 
 // callOf is the module's view of a message.
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -159,6 +159,15 @@
 	for _, name := range config.Changed(s.file, f) {
 		s.log.Warn("reload: this change is for the next start", "section", name)
 	}
+	now := map[string]bool{}
+	for _, p := range f.Partners {
+		now[p.Name] = true
+	}
+	for _, p := range s.file.Partners {
+		if !now[p.Name] {
+			s.log.Warn("reload: a partner is gone; messages held for it are kept until their time is up", "partner", p.Name)
+		}
+	}
 	partners := len(f.Partners)
 	keep := *s.file
 	keep.Partners = f.Partners
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	smallBody   = 4 << 10
 	placeTime   = 200 * time.Millisecond // to wait for a place for a large body
 	acceptPause = 5 * time.Millisecond
+	certTime    = 5 * time.Second
 )
 
 // Core is what the front hands requests to. [core.Door] is one.
@@ -71,6 +73,8 @@
 	closing chan struct{} // closed when long answers are to end
 	once    sync.Once
 	places  places
+
+	certTime time.Duration // between two looks at the certificate's files
 }
 
 //go:embed openapi.json
@@ -81,7 +85,7 @@
 	f := &Front{core: c, opts: opts, log: opts.Log, closing: make(chan struct{}),
 		large: make(chan struct{}, max(int(opts.Memory/(message.MaxBody+smallBody)), 8)),
 		polls: make(chan struct{}, max(opts.LongPolls, 1)), streams: make(chan struct{}, max(opts.Streams, 1)),
-		places: places{most: max(opts.Connections, 1), conns: map[net.Conn]place{}}}
+		certTime: certTime, places: places{most: max(opts.Connections, 1), conns: map[net.Conn]place{}}}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
@@ -132,6 +136,35 @@
 	return nil
 }
 
+// followCertificate rereads certificate and key when one of the files changes.
+func (f *Front) followCertificate() {
+	stamp := func() (s [2]string) {
+		for i, path := range []string{f.opts.Certificate, f.opts.Key} {
+			if info, err := os.Stat(path); err == nil {
+				s[i] = fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+			}
+		}
+		return s
+	}
+	tick := time.NewTicker(f.certTime)
+	defer tick.Stop()
+	for seen := stamp(); ; {
+		select {
+		case <-f.closing:
+			return
+		case <-tick.C:
+		}
+		if now := stamp(); now != seen {
+			if err := f.RereadCertificate(); err != nil {
+				f.log.Error("http front: the old certificate stands", "err", err)
+				continue // a pair that is half replaced is looked at again
+			}
+			seen = now
+			f.log.Info("http front: the certificate was reread")
+		}
+	}
+}
+
 // RereadCertificate reads certificate and key anew. On an error the old ones stand.
 func (f *Front) RereadCertificate() error {
 	if f.opts.Certificate == "" {
@@ -155,6 +188,7 @@
 func (f *Front) Serve() {
 	var ln net.Listener = &listener{f.ln, f}
 	if f.opts.Certificate != "" {
+		go f.followCertificate()
 		ln = tls.NewListener(ln, &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: []string{"h2", "http/1.1"},
 			GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return f.cert.Load(), nil }})
 	}
