Allow a partner's record for stalls only beyond what senders keep room for

Cause: allowing for every stall hid calls that passed a rate by less than a millisecond. Change: only what goes beyond 100 ms of bunching is allowed for.

--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -58,6 +58,9 @@
 // on its way.
 const Grace = 100 * time.Millisecond
 
+// calm is how much calls may bunch on an ordinary machine; senders keep room for it.
+const calm = 100 * time.Millisecond
+
 // Partner is one partner with one endpoint.
 type Partner struct {
 	opts  Options
@@ -276,11 +279,11 @@
 // one was out, a call inside a told wait, more calls than the rate in any window,
 // an unsafe message that ran twice. unsafe says which messages those are; a wait
 // that was told right before one of the sender's deaths may have died with it. Twice
-// the longest stall of the machine is allowed for.
+// the machine's longest stall is allowed for, as far as that is over calm.
 func (p *Partner) Faults(unsafe func(id string) bool, deaths ...time.Time) []string {
 	calls := p.Calls()
 	p.mu.Lock()
-	noise := 2 * p.stall
+	noise := max(2*p.stall-calm, 0)
 	p.mu.Unlock()
 	unheard := func(told time.Time) bool {
 		return slices.ContainsFunc(deaths, func(d time.Time) bool { return told.Before(d) && told.After(d.Add(-Grace)) })
