Share the tests' waiting, and split the HTTP front's tests by matter

Change: both use the one of the stand-in; TLS tests stand by themselves; a field that nothing read is gone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -84,7 +84,6 @@
 	held     map[string]*held
 	open     int           // of held, those not over
 	next     []logic.Event // for the next step
-	closing  bool
 	puts     []putEvent
 	fresh    map[string]*message.Message // of puts, those that are new, by id
 	asks     []stateEvent
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -11,24 +11,11 @@
 	"time"
 
 	"cometrack/internal/message"
+	"cometrack/internal/standin/byhand"
 	"cometrack/internal/store"
 	"cometrack/logic"
 )
 
-// patience bounds every wait for an event: it is not reached unless a test fails.
-const patience = 20 * time.Second
-
-func await[T any](t *testing.T, ch <-chan T, what string) T {
-	t.Helper()
-	select {
-	case v := <-ch:
-		return v
-	case <-time.After(patience):
-		t.Fatalf("no %s", what)
-	}
-	panic("unreachable")
-}
-
 // sent is an attempt that a test answers.
 type sent struct {
 	*Attempt
@@ -148,14 +135,18 @@
 	r.stop = stop
 	go func() { r.done <- r.Run(ctx) }()
 	r.t.Cleanup(stop)
-	await(r.t, r.Ready(), "ready core")
+	select {
+	case <-r.Ready():
+	case <-time.After(byhand.Patience):
+		r.t.Fatal("the core is not ready")
+	}
 	return r
 }
 
 func (r *rig) halt() {
 	r.t.Helper()
 	r.stop()
-	if err := await(r.t, r.done, "end of the core"); err != nil {
+	if err := byhand.Await(r.t, r.done, "end of the core"); err != nil {
 		r.t.Fatal(err)
 	}
 }
@@ -169,7 +160,7 @@
 	r.t.Helper()
 	answer := make(chan Answer, 1)
 	r.Submit(m, answer)
-	return await(r.t, answer, "answer to "+m.ID)
+	return byhand.Await(r.t, answer, "answer to "+m.ID)
 }
 
 func (r *rig) state(id string) string {
@@ -189,7 +180,7 @@
 		t.Errorf("before: %q", got)
 	}
 	r.put(newMessage("a", "safe"))
-	in := await(t, r.hand.attempts, "attempt")
+	in := byhand.Await(t, r.hand.attempts, "attempt")
 	if got := r.state("a"); got != StateSending {
 		t.Errorf("with an attempt out: %q", got)
 	}
@@ -201,16 +192,16 @@
 	in.result <- Result{Outcome: logic.Full, Wait: 300 * time.Millisecond}
 	for r.state("a") != StateAccepted { // until the outcome has come
 	}
-	(await(t, r.hand.attempts, "attempt after the wait")).result <- Result{Outcome: logic.Completed}
-	if s := await(t, over, "state of a message that is over"); s.Name != message.Delivered || s.Tries != 2 || s.Over.IsZero() || s.Partner != "acme" {
+	(byhand.Await(t, r.hand.attempts, "attempt after the wait")).result <- Result{Outcome: logic.Completed}
+	if s := byhand.Await(t, over, "state of a message that is over"); s.Name != message.Delivered || s.Tries != 2 || s.Over.IsZero() || s.Partner != "acme" {
 		t.Errorf("over: %+v", s)
 	}
-	if x := await(t, r.ends.told, "end"); x.ID != "a" || x.State != message.Delivered || x.Tries != 2 {
+	if x := byhand.Await(t, r.ends.told, "end"); x.ID != "a" || x.State != message.Delivered || x.Tries != 2 {
 		t.Errorf("told %+v", x)
 	}
 	r.put(newMessage("b", "unsafe"))
-	(await(t, r.hand.attempts, "attempt")).result <- Result{Outcome: logic.Severed}
-	await(t, r.ends.told, "end")
+	(byhand.Await(t, r.hand.attempts, "attempt")).result <- Result{Outcome: logic.Severed}
+	byhand.Await(t, r.ends.told, "end")
 	r.ends.confirm <- "b"
 	check := func(when string) {
 		t.Helper()
@@ -224,7 +215,7 @@
 		t.Errorf("after the end: %v", err)
 	}
 	r = newRig(t, dir, testConfig()).run()
-	if x := await(t, r.ends.told, "end that nobody confirmed"); x.ID != "a" || x.State != message.Delivered {
+	if x := byhand.Await(t, r.ends.told, "end that nobody confirmed"); x.ID != "a" || x.State != message.Delivered {
 		t.Errorf("told %+v", x)
 	}
 	check("after the restart")
@@ -246,17 +237,17 @@
 	r.Submit(other, answers)
 	count := map[Verdict]int{}
 	for range 3 {
-		count[await(t, answers, "answer").Verdict]++
+		count[byhand.Await(t, answers, "answer").Verdict]++
 	}
 	if count[Accepted] != 2 || count[Conflict] != 1 {
 		t.Errorf("answers %v", count)
 	}
-	in := await(t, r.hand.attempts, "attempt")
+	in := byhand.Await(t, r.hand.attempts, "attempt")
 	if string(in.Message.Body) != "body of a" {
 		t.Errorf("sent %q", in.Message.Body)
 	}
 	in.result <- Result{Outcome: logic.Completed}
-	await(t, r.ends.told, "end")
+	byhand.Await(t, r.ends.told, "end")
 	if a := r.put(other); a.Verdict != Conflict {
 		t.Errorf("another message under the id of one that is over: %+v", a)
 	}
@@ -284,7 +275,7 @@
 		for range 2 {
 			go r.Submit(newMessage(id, "unsafe"), answers)
 		}
-		in := await(t, r.hand.attempts, "attempt")
+		in := byhand.Await(t, r.hand.attempts, "attempt")
 		if in.Message.ID != id {
 			t.Fatalf("attempt of %s, want %s", in.Message.ID, id)
 		}
@@ -296,7 +287,7 @@
 		in.result <- Result{Outcome: logic.Completed}
 		again := 0
 		for range 2 {
-			a := await(t, answers, "answer")
+			a := byhand.Await(t, answers, "answer")
 			if a.Verdict != Accepted {
 				t.Fatalf("answer %+v", a)
 			}
@@ -307,7 +298,7 @@
 		if again != 1 {
 			t.Fatalf("%d of two answers say that it was known", again)
 		}
-		if s := await(t, seen, "state"); s != StateSending && s != message.Delivered && s != StateAccepted {
+		if s := byhand.Await(t, seen, "state"); s != StateSending && s != message.Delivered && s != StateAccepted {
 			t.Fatalf("state %q", s)
 		}
 		if s, err := r.State(t.Context(), id, true); err != nil || s.Name != message.Delivered || s.Tries != 1 {
@@ -324,7 +315,7 @@
 func TestWatchGivenUp(t *testing.T) {
 	r := newRig(t, t.TempDir(), testConfig()).run()
 	r.put(newMessage("a", "safe"))
-	in := await(t, r.hand.attempts, "attempt")
+	in := byhand.Await(t, r.hand.attempts, "attempt")
 	ctx, cancel := context.WithCancel(t.Context())
 	got := make(chan State, 1)
 	go func() {
@@ -335,11 +326,11 @@
 		got <- s
 	}()
 	cancel()
-	if s := await(t, got, "state"); s.Name != StateSending {
+	if s := byhand.Await(t, got, "state"); s.Name != StateSending {
 		t.Errorf("state %+v", s)
 	}
 	in.result <- Result{Outcome: logic.Completed}
-	await(t, r.ends.told, "end")
+	byhand.Await(t, r.ends.told, "end")
 	r.ends.confirm <- "a"
 	r.halt()
 	if len(r.watchers) != 0 {
@@ -354,7 +345,7 @@
 	put := func() Answer {
 		answer := make(chan Answer, 1)
 		r.Core.put(putEvent{msg: newMessage("a", "safe"), answer: answer})
-		return await(t, answer, "answer")
+		return byhand.Await(t, answer, "answer")
 	}
 	r.open = r.cfg.Settings.MaxOpen
 	if a := put(); a.Verdict != Busy {
@@ -389,12 +380,12 @@
 	if a := r.put(newMessage("a", "safe")); a.Verdict != Accepted {
 		t.Fatalf("answer %+v", a)
 	}
-	in := await(t, r.hand.attempts, "attempt")
+	in := byhand.Await(t, r.hand.attempts, "attempt")
 	if in.Message.ID != "a" {
 		t.Fatalf("attempt of %s", in.Message.ID)
 	}
 	in.result <- Result{Outcome: logic.Completed}
-	await(t, r.ends.told, "end")
+	byhand.Await(t, r.ends.told, "end")
 	r.ends.confirm <- "a"
 	r.halt()
 }
@@ -403,7 +394,7 @@
 func TestProbe(t *testing.T) {
 	r := newRig(t, t.TempDir(), testConfig()).run()
 	r.probe(t.Context(), 1)
-	if ep := await(t, r.hand.probes, "probe"); ep != 1 {
+	if ep := byhand.Await(t, r.hand.probes, "probe"); ep != 1 {
 		t.Errorf("probe of %d", ep)
 	}
 	r.halt()
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -186,7 +186,6 @@
 			c.records = append(c.records, store.Record{Op: store.OpNoticed, ID: id, At: now})
 		}
 	case closingEvent:
-		c.closing = true
 		c.next = append(c.next, logic.Closing{Left: micros(ev.left)})
 	}
 }
--- a/internal/core/restart_test.go
+++ b/internal/core/restart_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cometrack/internal/message"
+	"cometrack/internal/standin/byhand"
 	"cometrack/internal/store"
 	"cometrack/logic"
 )
@@ -22,7 +23,7 @@
 	cfg.KeepWaits = true
 	r := newRig(t, dir, cfg).run()
 	r.put(newMessage("a", "unsafe"))
-	in := await(t, r.hand.attempts, "attempt")
+	in := byhand.Await(t, r.hand.attempts, "attempt")
 	const wait = 1500 * time.Millisecond
 	told := time.Now()
 	in.result <- Result{Outcome: logic.Full, Wait: wait}
@@ -30,11 +31,11 @@
 	}
 	r.kill()
 	r = newRig(t, dir, cfg).run()
-	await(t, r.hand.attempts, "attempt after the restart").result <- Result{Outcome: logic.Completed}
+	byhand.Await(t, r.hand.attempts, "attempt after the restart").result <- Result{Outcome: logic.Completed}
 	if d := time.Since(told); d < wait {
 		t.Errorf("sent again %v after a wait of %v was told", d, wait)
 	}
-	if x := await(t, r.ends.told, "end"); x.State != message.Delivered || x.Tries != 2 {
+	if x := byhand.Await(t, r.ends.told, "end"); x.State != message.Delivered || x.Tries != 2 {
 		t.Errorf("told %+v", x)
 	}
 	r.ends.confirm <- "a"
@@ -49,18 +50,18 @@
 	cfg.Known.Endpoints[0].Weight = 2
 	r := newRig(t, dir, cfg).run()
 	r.put(newMessage("a", "unsafe"))
-	await(t, r.hand.attempts, "attempt").result <- Result{Outcome: logic.Completed}
-	await(t, r.ends.told, "end")
+	byhand.Await(t, r.hand.attempts, "attempt").result <- Result{Outcome: logic.Completed}
+	byhand.Await(t, r.ends.told, "end")
 	r.ends.confirm <- "a"
 	r.halt()
 	start := time.Now()
 	r = newRig(t, dir, cfg).run()
 	r.put(newMessage("b", "unsafe"))
-	await(t, r.hand.attempts, "attempt after the restart").result <- Result{Outcome: logic.Completed}
+	byhand.Await(t, r.hand.attempts, "attempt after the restart").result <- Result{Outcome: logic.Completed}
 	if d := time.Since(start); d < 500*time.Millisecond {
 		t.Errorf("sent %v after the restart, at 2 a second", d)
 	}
-	await(t, r.ends.told, "end")
+	byhand.Await(t, r.ends.told, "end")
 	r.ends.confirm <- "b"
 	r.halt()
 }
@@ -80,7 +81,7 @@
 	j.Close()
 	r := newRig(t, dir, testConfig()).run()
 	for range 2 {
-		x := await(t, r.ends.told, "end")
+		x := byhand.Await(t, r.ends.told, "end")
 		if want := map[string]string{"never": message.Returned, "may": message.Failed}[x.ID]; x.State != want {
 			t.Errorf("%s is %s, want %s", x.ID, x.State, want)
 		}
--- a/internal/front/http/tls_test.go
+++ b/internal/front/http/tls_test.go
@@ -1,14 +1,19 @@
 package httpfront
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
+	"log/slog"
 	"math/big"
 	"net"
+	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 )
@@ -38,3 +43,64 @@
 
 // insecure takes any certificate: the tests look at which one is shown.
 func insecure() *tls.Config { return &tls.Config{InsecureSkipVerify: true} }
+
+// Certificates are reread when they change, and a bad one leaves the old one in place; HTTP/2 is spoken over TLS and
+// without.
+func TestTLS(t *testing.T) {
+	dir := t.TempDir()
+	write := func() {
+		certPEM, keyPEM := pemOf(t)
+		os.WriteFile(dir+"/cert.pem", certPEM, 0o600)
+		os.WriteFile(dir+"/key.pem", keyPEM, 0o600)
+	}
+	write()
+	f := New(&scripted{}, Options{Listen: "127.0.0.1:0", Connections: 64, Certificate: dir + "/cert.pem", Key: dir + "/key.pem",
+		Log: slog.New(slog.DiscardHandler)})
+	f.certTime = 5 * time.Millisecond
+	if err := f.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	go f.Serve()
+	t.Cleanup(func() { f.CloseListener(); f.Shutdown(context.Background()) })
+	base := "http://" + f.Addr().String()
+	base = "https" + strings.TrimPrefix(base, "http")
+	get := func() (serial, proto string) {
+		t.Helper()
+		c := &http.Client{Transport: &http.Transport{TLSClientConfig: insecure(), ForceAttemptHTTP2: true, DisableKeepAlives: true}}
+		resp, err := c.Get(base + "/openapi.json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.TLS.PeerCertificates[0].SerialNumber.String(), resp.Proto
+	}
+	first, proto := get()
+	if proto != "HTTP/2.0" {
+		t.Errorf("spoken: %s", proto)
+	}
+	write()
+	second := first
+	for stop := time.Now().Add(patience); second == first; second, _ = get() {
+		if time.Now().After(stop) {
+			t.Fatal("the certificate is not reread")
+		}
+	}
+	os.WriteFile(dir+"/cert.pem", []byte("-----BEGIN"), 0o600)
+	if err := f.RereadCertificate(); err == nil {
+		t.Error("no error for half a certificate")
+	}
+	if third, _ := get(); third != second {
+		t.Error("the old certificate does not stand")
+	}
+	_, plain := newFront(t, &scripted{})
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	resp, err := (&http.Client{Transport: &http.Transport{Protocols: &p}}).Get(plain + "/openapi.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.Proto != "HTTP/2.0" {
+		t.Errorf("spoken without TLS: %s", resp.Proto)
+	}
+}
--- a/internal/sink/webhook/webhook_test.go
+++ b/internal/sink/webhook/webhook_test.go
@@ -15,21 +15,9 @@
 
 	"cometrack/internal/message"
 	"cometrack/internal/sink"
+	"cometrack/internal/standin/byhand"
 )
 
-const patience = 20 * time.Second
-
-func await[T any](t *testing.T, ch <-chan T, what string) T {
-	t.Helper()
-	select {
-	case v := <-ch:
-		return v
-	case <-time.After(patience):
-		t.Fatalf("no %s", what)
-	}
-	panic("unreachable")
-}
-
 // The example of the Standard Webhooks specification, "Signature scheme".
 func TestSign(t *testing.T) {
 	key, err := base64.StdEncoding.DecodeString("MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw")
@@ -70,7 +58,7 @@
 }
 
 func newSink(url string, parallel, waiting int) *Sink {
-	s := New(Options{URL: url, Key: []byte("0123456789abcdef0123456789abcdef"), Timeout: patience, Parallel: parallel, Waiting: waiting,
+	s := New(Options{URL: url, Key: []byte("0123456789abcdef0123456789abcdef"), Timeout: byhand.Patience, Parallel: parallel, Waiting: waiting,
 		Log: slog.New(slog.DiscardHandler)})
 	s.pause = func(context.Context, time.Duration) {}
 	return s
@@ -89,7 +77,7 @@
 	add(s, "a")
 	var first []byte
 	for _, status := range []int{500, 404, 302, 429, 204} {
-		p := await(t, posts, "post")
+		p := byhand.Await(t, posts, "post")
 		if first == nil {
 			first = p.body
 		}
@@ -101,7 +89,7 @@
 		}
 		p.status <- status
 	}
-	if got := fmt.Sprint(await(t, heard, "confirmation")); got != "[a]" {
+	if got := fmt.Sprint(byhand.Await(t, heard, "confirmation")); got != "[a]" {
 		t.Errorf("confirmed %s", got)
 	}
 	var l sink.Line
@@ -119,7 +107,7 @@
 	go s.Run(t.Context(), func(ids []string) { confirmed.Add(int64(len(ids))) })
 	add(s, "m0")
 	add(s, "m1")
-	one, two := await(t, posts, "post"), await(t, posts, "post")
+	one, two := byhand.Await(t, posts, "post"), byhand.Await(t, posts, "post")
 	for i := 2; i < 20; i++ {
 		add(s, fmt.Sprint("m", i))
 	}
@@ -129,13 +117,13 @@
 	one.status <- 200
 	two.status <- 200
 	for i := range 5 {
-		p := await(t, posts, "post")
+		p := byhand.Await(t, posts, "post")
 		if want := fmt.Sprint("m", 15+i); p.id < "m15" {
 			t.Errorf("posted %s, want %s", p.id, want)
 		}
 		p.status <- 200
 	}
-	for stop := time.Now().Add(patience); confirmed.Load() < 20; {
+	for stop := time.Now().Add(byhand.Patience); confirmed.Load() < 20; {
 		if time.Now().After(stop) {
 			t.Fatalf("%d confirmed", confirmed.Load())
 		}
