--- /dev/null
+++ b/internal/front/auth/auth_test.go
@@ -0,0 +1,18 @@
+package auth
+
+import (
+	"testing"
+
+	"cometrack/internal/config"
+)
+
+// A token is its own tenant's, whole; nothing near it is.
+func TestTenant(t *testing.T) {
+	tokens := New([]config.Tenant{{Name: "a", Tokens: []string{"token-of-a-number-1", "token-of-a-number-2"}}, {Name: "b", Tokens: []string{"token-of-b-number-1"}}, {Name: "c"}})
+	for shown, want := range map[string]string{"token-of-a-number-1": "a", "token-of-a-number-2": "a", "token-of-b-number-1": "b",
+		"": "", "token-of-a-number-": "", "token-of-a-number-1 ": "", "token-of-a-number-12": "", "TOKEN-OF-A-NUMBER-1": ""} {
+		if got, ok := tokens.Tenant(shown); got != want || ok != (want != "") {
+			t.Errorf("%q: %q, %v", shown, got, ok)
+		}
+	}
+}
