Confirm ends that are given up while a receiver is still stuck

Cause: ends above the bound of a webhook or an end file were confirmed only when the sink next took some, which it does not while its receiver is down.

Change: the queue confirms what it gives up by itself.

--- a/internal/sink/jsonl/jsonl.go
+++ b/internal/sink/jsonl/jsonl.go
@@ -47,12 +47,10 @@
 // Run writes what waits until ctx is over.
 func (s *Sink) Run(ctx context.Context, confirm func(ids []string)) {
 	defer s.file.Close()
+	go s.queue.ConfirmGivenUp(ctx, confirm)
 	broken := false // the last write may have left part of a line
 	for {
-		lines, dropped := s.queue.Take(batch)
-		if len(dropped) > 0 {
-			confirm(dropped)
-		}
+		lines := s.queue.Take(batch)
 		if len(lines) == 0 {
 			select {
 			case <-ctx.Done():
--- a/internal/sink/jsonl/jsonl_test.go
+++ b/internal/sink/jsonl/jsonl_test.go
@@ -76,7 +76,7 @@
 		t.Fatal(err)
 	}
 	s := New(Options{Path: filepath.Join(dir, "ends.jsonl"), MaxMB: 1, Keep: 2, Waiting: 100, Log: slog.New(slog.DiscardHandler)})
-	confirmed := make(chan []string, 16)
+	confirmed := make(chan []string, 256)
 	go s.Run(t.Context(), func(ids []string) { confirmed <- ids })
 	for i := range 10 {
 		s.Add(&message.Message{}, message.End{ID: fmt.Sprint(i)})
@@ -84,6 +84,17 @@
 	if len(confirmed) != 0 {
 		t.Fatal("confirmed what was not written")
 	}
+	for i := 10; i < 500; i++ { // far above the bound, and what one write takes: the oldest are given up, and are owed no more
+		s.Add(&message.Message{}, message.End{ID: fmt.Sprint(i)})
+	}
+	for given := 0; given < 300; {
+		select {
+		case ids := <-confirmed:
+			given += len(ids)
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%d of those given up are confirmed", given)
+		}
+	}
 	if err := os.Remove(dir); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sink/queue.go
+++ b/internal/sink/queue.go
@@ -2,6 +2,7 @@
 package sink
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"sync"
@@ -43,6 +44,7 @@
 	most    int
 	log     *slog.Logger
 	Wake    chan struct{} // gets a value when there is something new
+	gaveUp  chan struct{} // gets a value when something was given up
 	mu      sync.Mutex
 	lines   []Line
 	dropped []string
@@ -51,7 +53,7 @@
 
 // NewQueue makes a queue for so many ends.
 func NewQueue(most int, log *slog.Logger) *Queue {
-	return &Queue{most: max(most, 1), log: log, Wake: make(chan struct{}, 1)}
+	return &Queue{most: max(most, 1), log: log, Wake: make(chan struct{}, 1), gaveUp: make(chan struct{}, 1)}
 }
 
 // Add queues an end; it never waits.
@@ -65,21 +67,42 @@
 			q.log.Error("end sink: too many ends wait, the oldest is given up", "given_up", q.lost)
 		}
 	}
+	full := len(q.dropped) > 0
 	q.mu.Unlock()
-	q.Signal()
+	signal(q.Wake)
+	if full {
+		signal(q.gaveUp)
+	}
 }
 
-// Signal wakes whoever waits.
-func (q *Queue) Signal() {
+func signal(ch chan<- struct{}) {
 	select {
-	case q.Wake <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
 
-// Take returns up to n ends, the oldest first, and the ids of those given up since
-// the last call.
-func (q *Queue) Take(n int) (lines []Line, dropped []string) {
+// ConfirmGivenUp confirms what is given up until ctx is over, also while whoever
+// takes the ends is stuck: else they would stay owed, and fill the journal.
+func (q *Queue) ConfirmGivenUp(ctx context.Context, confirm func(ids []string)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.gaveUp:
+		}
+		q.mu.Lock()
+		ids := q.dropped
+		q.dropped = nil
+		q.mu.Unlock()
+		if len(ids) > 0 {
+			confirm(ids)
+		}
+	}
+}
+
+// Take returns up to n ends, the oldest first.
+func (q *Queue) Take(n int) (lines []Line) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n = min(n, len(q.lines))
@@ -87,8 +110,7 @@
 	if q.lines = q.lines[n:]; len(q.lines) == 0 {
 		q.lines = nil
 	}
-	dropped, q.dropped = q.dropped, nil
-	return lines, dropped
+	return lines
 }
 
 // Lost is the number of ends given up.
--- a/internal/sink/webhook/webhook.go
+++ b/internal/sink/webhook/webhook.go
@@ -63,16 +63,14 @@
 	places := make(chan struct{}, s.opts.Parallel)
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	wg.Go(func() { s.queue.ConfirmGivenUp(ctx, confirm) })
 	for {
 		select { // a place first: what waits must stay in the queue, where the bound holds
 		case <-ctx.Done():
 			return
 		case places <- struct{}{}:
 		}
-		lines, dropped := s.queue.Take(1)
-		if len(dropped) > 0 {
-			confirm(dropped)
-		}
+		lines := s.queue.Take(1)
 		if len(lines) == 0 {
 			<-places
 			select {
