Follow pushed lists, send several messages in a call, read load reports

Cause: with a pushed list the module asks for none and core.Run never watched; calls to kinds that take several messages went out one by one, past the slots that the module counts one for; Endpoint-Load-Metrics was never read.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -9,12 +9,51 @@
 	"cometrack/logic"
 )
 
-// callOut makes an attempt. Without its record in the journal it is not made.
-func (c *Core) callOut(work context.Context, a logic.CallOut, written bool) {
+// callOuts makes the attempts of a step. Those at one endpoint travel as one call
+// as far as its kind allows, in the order of the module's words. Without their
+// records in the journal they are not made.
+func (c *Core) callOuts(work context.Context, outs []logic.CallOut, written bool) {
+	calls := map[logic.EndpointID][]*Attempt{} // that may take more
+	for _, a := range outs {
+		out := c.attempt(a)
+		if out == nil {
+			continue
+		}
+		if !written {
+			c.held[a.ID].stop = func() {}
+			ev := replyEvent{{attempt: out, result: Result{Outcome: logic.Moot}}}
+			time.AfterFunc(retryPause, func() { c.post(ev) }) // a full disk, say: room may come
+			continue
+		}
+		call := append(calls[a.Endpoint], out)
+		if len(call) >= c.batch(a.Endpoint) {
+			c.call(work, call)
+			call = nil
+		}
+		calls[a.Endpoint] = call
+	}
+	for _, a := range outs { // in order: map iteration has none
+		if call := calls[a.Endpoint]; len(call) > 0 {
+			c.call(work, call)
+			delete(calls, a.Endpoint)
+		}
+	}
+}
+
+// batch is how many messages one call to an endpoint takes.
+func (c *Core) batch(ep logic.EndpointID) int {
+	if k := c.dir.eps[ep].kind; k >= 0 && k < len(c.cfg.Settings.Kinds) {
+		return max(c.cfg.Settings.Kinds[k].Batch, 1)
+	}
+	return 1
+}
+
+// attempt books an attempt. It is nil for a message that is not held.
+func (c *Core) attempt(a logic.CallOut) *Attempt {
 	h := c.held[a.ID]
 	if h == nil { // never taken on; the module is still owed its one outcome
 		c.next = append(c.next, logic.Reply{ID: a.ID, NoMore: true, Endpoint: a.Endpoint, Outcome: logic.Moot})
-		return
+		return nil
 	}
 	to := c.dir.eps[a.Endpoint]
 	out := &Attempt{Message: h.msg, Number: h.tries, Endpoint: a.Endpoint, Addr: to.addr, GiveUp: span(a.GiveUp)}
@@ -24,21 +63,48 @@
 	if e := c.store.Entry(a.ID); e != nil && e.MayRun && class.Effect == logic.Keyed { // a repeat: by the end of the window it must be written
 		out.WriteBy = time.UnixMicro(e.FirstMay).Add(span(class.Window))
 	}
+	h.attempt = out
+	return out
+}
+
+// call makes attempts in one call. It is called off once each of them is; until
+// then one that is called off shares the fate of the rest, if it went out.
+func (c *Core) call(work context.Context, call []*Attempt) {
 	ctx, stop := context.WithCancel(work)
-	h.stop, h.attempt = stop, out
-	if !written {
-		ev := replyEvent{attempt: out, result: Result{Outcome: logic.Moot}}
-		time.AfterFunc(retryPause, func() { c.post(ev) }) // a full disk, say: room may come
-		return
+	left := len(call)
+	for _, out := range call {
+		stopped := false
+		c.held[out.Message.ID].stop = func() { // by the loop alone
+			if stopped {
+				return
+			}
+			stopped = true
+			if len(call) > 1 {
+				out.Hold()
+			}
+			if left--; left == 0 {
+				stop()
+			}
+		}
 	}
 	go func() {
+		defer stop()
 		at := time.Now()
-		r := c.transport.Attempt(ctx, out)
+		var results []Result
+		if len(call) == 1 {
+			results = []Result{c.transport.Attempt(ctx, call[0])}
+		} else {
+			results = c.transport.Batch(ctx, call)
+		}
 		took := time.Since(at)
-		if r.Local {
+		ev, local := make(replyEvent, len(call)), false
+		for i, out := range call {
+			ev[i], local = reply{out, results[i], took}, local || results[i].Local
+		}
+		if local {
 			pause(ctx, retryPause) // descriptors, say: room may come
 		}
-		c.post(replyEvent{out, r, took})
+		c.post(ev)
 	}()
 }
 
@@ -53,7 +119,7 @@
 }
 
 // reply takes the one outcome of an attempt.
-func (c *Core) reply(ev replyEvent) {
+func (c *Core) reply(ev reply) {
 	id := ev.attempt.Message.ID
 	h := c.held[id]
 	if h == nil {
@@ -83,7 +149,7 @@
 		delete(c.held, id)
 	}
 	c.next = append(c.next, logic.Reply{ID: id, NoMore: ended || done, Endpoint: ev.attempt.Endpoint,
-		Attempt: ev.attempt.Number, Outcome: r.Outcome, Took: micros(ev.took), Wait: micros(r.Wait)})
+		Attempt: ev.attempt.Number, Outcome: r.Outcome, Took: micros(ev.took), Wait: micros(r.Wait), Load: r.Load})
 }
 
 // deliver ends a message that an attempt has ended.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,7 +129,10 @@
 	defer cancel()
 	defer c.store.Close()
 	c.resume()
-	c.step(work) // what the store holds comes first: its ends are due
+	c.step(work)                   // what the store holds comes first: its ends are due
+	if !c.cfg.Settings.OnRequest { // the module does not ask for a list that comes by itself
+		c.watch(work)
+	}
 	attrs := []any{"name", c.cfg.Name, "held", len(c.held)}
 	for _, f := range fronts {
 		if err := f.Listen(); err != nil {
@@ -179,6 +182,11 @@
 	return err
 }
 
+// watch follows the endpoints.
+func (c *Core) watch(work context.Context) {
+	c.source.Watch(work, func(n News) { c.post(n) })
+}
+
 // turnAway answers what has come too late for the loop.
 func (c *Core) turnAway() {
 	for {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -38,6 +38,13 @@
 	return <-s.result
 }
 
+func (h *hand) Batch(ctx context.Context, call []*Attempt) []Result {
+	out := make([]Result, len(call))
+	for i, a := range call {
+		out[i] = h.Attempt(ctx, a)
+	}
+	return out
+}
 func (h *hand) Probe(_ context.Context, ep logic.EndpointID, _ string) logic.Outcome {
 	h.probes <- ep
 	return logic.Completed
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -30,8 +30,9 @@
 		id     string
 		answer chan State
 	}
-	// replyEvent is the one outcome of an attempt.
-	replyEvent struct {
+	// replyEvent is the outcomes of the attempts of one call, one each.
+	replyEvent []reply
+	reply      struct {
 		attempt *Attempt
 		result  Result
 		took    time.Duration
@@ -175,7 +176,9 @@
 	case unwatchEvent:
 		c.unwatch(ev)
 	case replyEvent:
-		c.reply(ev)
+		for _, r := range ev {
+			c.reply(r)
+		}
 	case healthEvent:
 		c.next = append(c.next, logic.HealthResult{Endpoint: ev.ep, Outcome: ev.outcome})
 	case News:
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -37,6 +37,10 @@
 	// Attempt returns, the attempt is over for the peer too as far as a transport
 	// can see to that: the next one may begin at once.
 	Attempt(ctx context.Context, a *Attempt) Result
+	// Batch makes attempts of several messages at one endpoint that travel as one
+	// call where it can, and returns the outcome of each. What holds for Attempt
+	// holds for each of them; one that may not begin is left out of the call.
+	Batch(ctx context.Context, call []*Attempt) []Result
 	// Probe asks an endpoint whether it is well.
 	Probe(ctx context.Context, ep logic.EndpointID, addr string) logic.Outcome
 	// Release closes the idle connections to an endpoint.
@@ -87,9 +91,10 @@
 // Result is how an attempt ended.
 type Result struct {
 	Outcome logic.Outcome
-	Wait    time.Duration // told by a refusal
+	Wait    time.Duration // told by the answer; it binds whatever the outcome
 	Over    bool          // the peer says that the message is over
 	Local   bool          // nothing was sent for want of something at this end
+	Load    []float64     // what the answer reports of the load, in the order of the settings; nil for nothing
 }
 
 // Endpoint is one endpoint of a partner as a source names it.
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cometrack/internal/journal"
@@ -64,9 +65,19 @@
 	}
 	clear(c.tell)
 	c.tell = c.tell[:0]
+	var outs []logic.CallOut // some of them may share a call
 	for _, a := range actions {
-		c.act(work, a, answers, now, err == nil)
+		if out, ok := a.(logic.CallOut); ok {
+			outs = append(outs, out)
+			continue
+		}
+		if id := messageOf(a); id != "" && slices.ContainsFunc(outs, func(out logic.CallOut) bool { return out.ID == id }) {
+			c.callOuts(work, outs, err == nil)
+			outs = outs[:0]
+		}
+		c.act(work, a, answers, now)
 	}
+	c.callOuts(work, outs, err == nil)
 	c.tellStates()
 }
 
@@ -109,11 +120,22 @@
 	}
 }
 
-// act carries out one word of the module.
-func (c *Core) act(work context.Context, a logic.Action, answers map[string]Answer, now int64, written bool) {
+// messageOf is the message that an action is about, if any.
+func messageOf(a logic.Action) string {
+	switch a := a.(type) {
+	case logic.Cancel:
+		return a.ID
+	case logic.Refuse:
+		return a.ID
+	case logic.Fail:
+		return a.ID
+	}
+	return ""
+}
+
+// act carries out one word of the module that is no call.
+func (c *Core) act(work context.Context, a logic.Action, answers map[string]Answer, now int64) {
 	switch a := a.(type) {
-	case logic.CallOut:
-		c.callOut(work, a, written)
 	case logic.Cancel:
 		if h := c.held[a.ID]; h != nil && h.stop != nil && h.tries-1 == a.Attempt {
 			h.stop()
@@ -136,7 +158,7 @@
 	case logic.Release:
 		c.transport.Release(a.Endpoint)
 	case logic.Listen:
-		c.source.Watch(work, func(n News) { c.post(n) })
+		c.watch(work)
 	case logic.Log:
 		c.log.Info(a.Text)
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -42,16 +42,17 @@
 		return nil, err
 	}
 	share := shareOut(cfg.Limits.Sockets, set.Slots, store.MostFiles(int64(cfg.Limits.DiskMB*1e6)))
-	p := &Platform{log: log, source: platform.New(cfg.Discovery, cfg.Known, log), sink: notices.New(cfg.Discovery, log)}
+	p := &Platform{log: log, source: platform.New(cfg.Discovery, cfg.Known, !set.OnRequest, log), sink: notices.New(cfg.Discovery, log)}
 	conf := core.Config{Name: cfg.Name, Settings: set, Seed: cfg.Seed, Zones: cfg.Deploy.Zones}
 	if cfg.Known.Generation != 0 || len(cfg.Known.Instances) > 0 {
 		known := cfg.Known.List()
 		known.Whole = true
 		conf.Known = &known
 	}
-	p.core, err = core.New(conf, core.Parts{Store: kept, Source: p.source, Sink: p.sink, Log: log,
-		Transport: httptransport.New(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle),
-			httptransport.Limits{Open: share.calls, Idle: share.idle, PerEndpoint: set.Slots})})
+	transport := httptransport.New(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle),
+		httptransport.Limits{Open: share.calls, Idle: share.idle, PerEndpoint: set.Slots})
+	transport.Reports = cfg.Deploy.Reports
+	p.core, err = core.New(conf, core.Parts{Store: kept, Source: p.source, Sink: p.sink, Log: log, Transport: transport})
 	if err != nil {
 		kept.Close()
 		return nil, err
--- a/internal/source/platform/platform.go
+++ b/internal/source/platform/platform.go
@@ -18,6 +18,7 @@
 
 const (
 	watchHold  = 20 * time.Second       // how long a watch may wait for news
+	agentHold  = time.Second            // the same at an agent, which costs nothing and may fall silent at any time
 	watchSlack = time.Second            // and how much later its answer may come; changes count as told 2 s later
 	listTime   = 6 * time.Second        // for the whole list
 	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
@@ -69,6 +70,7 @@
 type Source struct {
 	client *http.Client
 	log    *slog.Logger
+	pushed bool
 
 	mu       sync.Mutex
 	addr     string
@@ -81,9 +83,12 @@
 }
 
 // New makes a source that asks at addr. known is the list that the core has
-// already; the zero value if it has none.
-func New(addr string, known List, log *slog.Logger) *Source {
-	return &Source{addr: addr, log: log, gen: known.Generation, started: known.Generation != 0 || len(known.Instances) > 0,
+// already; the zero value if it has none. With pushed, the address belongs to an
+// agent on this machine that is sent the list: it answers at once or, while
+// discovery is down, not at all, and what it has counts as told. The source then
+// goes on asking whatever happens.
+func New(addr string, known List, pushed bool, log *slog.Logger) *Source {
+	return &Source{addr: addr, log: log, pushed: pushed, gen: known.Generation, started: known.Generation != 0 || len(known.Instances) > 0,
 		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
@@ -161,11 +166,15 @@
 }
 
 func (w *watch) run(ctx context.Context) {
+	down := false
 	for ctx.Err() == nil {
-		url, limit := w.base, listTime
+		url, limit, hold := w.base, listTime, watchHold
+		if w.d.pushed {
+			limit, hold = agentHold+watchSlack, agentHold
+		}
 		if w.started {
-			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, watchHold.Milliseconds())
-			limit = watchHold + watchSlack
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, hold.Milliseconds())
+			limit = hold + watchSlack
 		}
 		at := time.Now()
 		list, err := w.d.get(ctx, url, limit)
@@ -173,15 +182,19 @@
 			return
 		}
 		if err != nil {
-			w.d.log.Warn("discovery", "err", err)
-			if w.spare--; w.spare >= 0 {
+			if w.spare--; w.spare >= 0 || w.d.pushed {
+				if !down {
+					w.d.log.Warn("discovery", "err", err)
+				}
+				down = w.d.pushed // say so once, however long the agent is silent
 				time.Sleep(movePause)
 				continue
 			}
+			w.d.log.Warn("discovery", "err", err)
 			w.tell(core.News{Err: err, Epoch: w.epoch})
 			return
 		}
-		w.gen, w.started, w.spare = list.Generation, true, 0
+		w.gen, w.started, w.spare, down = list.Generation, true, 0, false
 		w.tell(core.News{List: list.List(), Version: list.Generation, Epoch: w.epoch})
 		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
 			time.Sleep(emptyPause)
--- a/internal/transport/http/answer.go
+++ b/internal/transport/http/answer.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,8 +32,8 @@
 // readAnswer reads the answer to a call that was written, and says whether the
 // connection can carry another. net/http's reader would not do: the first line
 // counts even where the rest of the head can't be read, and lengths that leave a
-// doubt are no lengths.
-func readAnswer(r *bufio.Reader, limit *cutoff) (core.Result, bool) {
+// doubt are no lengths. With a body, a 200 counts only if it has come whole.
+func readAnswer(r *bufio.Reader, limit *cutoff, reports []string, body *bytes.Buffer) (core.Result, bool) {
 	for {
 		limit.wait(0)
 		if _, err := r.Peek(1); err != nil {
@@ -45,10 +48,10 @@
 		}
 		limit.wait(headTime)
 		status, err := readStatus(r)
-		if status == http.StatusOK { // true whatever follows
+		if status == http.StatusOK && body == nil { // true whatever follows
 			limit.wait(tailTime)
-			_, keep, tail := readRest(r, status)
-			return core.Result{Outcome: logic.Completed}, err == nil && tail == nil && keep
+			header, keep, tail := readRest(r, status, io.Discard)
+			return core.Result{Outcome: logic.Completed, Load: readReport(header, reports)}, err == nil && tail == nil && keep
 		}
 		if err != nil {
 			return limit.broken(err), false
@@ -59,11 +62,20 @@
 			}
 			continue // an interim answer; the outcome is yet to come
 		}
-		header, keep, err := readRest(r, status)
+		var to io.Writer = io.Discard
+		if body != nil {
+			to = body
+		}
+		header, keep, err := readRest(r, status, to)
 		if err != nil && status != http.StatusInternalServerError {
 			return limit.broken(err), false
 		}
-		return outcomeOf(status, header), keep && err == nil
+		out := outcomeOf(status, header)
+		if body != nil {
+			out = outcomeOfBatch(status, header)
+		}
+		out.Load = readReport(header, reports)
+		return out, keep && err == nil
 	}
 }
 
@@ -116,7 +128,7 @@
 }
 
 // readRest reads head and body, and says whether the connection can be used again.
-func readRest(r *bufio.Reader, status int) (http.Header, bool, error) {
+func readRest(r *bufio.Reader, status int, body io.Writer) (http.Header, bool, error) {
 	header, err := readHeader(r)
 	if err != nil {
 		return header, false, err
@@ -132,14 +144,14 @@
 		if err != nil || !digits(lengths[0]) || n > maxAnswer {
 			return header, false, fmt.Errorf("%w: length %.40q", errSpoilt, lengths[0])
 		}
-		if _, err := io.CopyN(io.Discard, r, n); err != nil {
+		if _, err := io.CopyN(body, r, n); err != nil {
 			return header, false, err
 		}
 	case len(codings) == 1:
 		if !strings.EqualFold(codings[0], "chunked") {
 			return header, false, fmt.Errorf("%w: coding %.40q", errSpoilt, codings[0])
 		}
-		if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(r)); err != nil {
+		if _, err := io.Copy(body, httputil.NewChunkedReader(r)); err != nil {
 			return header, false, spoilt(err)
 		}
 		if _, err := readHeader(r); err != nil { // trailers
@@ -147,7 +159,7 @@
 		}
 	default: // the body ends with the connection
 		keep = false
-		if _, err := io.Copy(io.Discard, r); err != nil {
+		if _, err := io.Copy(body, r); err != nil {
 			return header, false, err
 		}
 	}
@@ -158,11 +170,7 @@
 func outcomeOf(status int, header http.Header) core.Result {
 	switch status {
 	case http.StatusTooManyRequests:
-		ms, err := strconv.ParseInt(header.Get("X-Come-Back-Ms"), 10, 64)
-		if err != nil || ms < 0 {
-			ms = 0
-		}
-		return core.Result{Outcome: logic.Full, Wait: time.Duration(min(ms, core.MaxHold.Milliseconds())) * time.Millisecond}
+		return core.Result{Outcome: logic.Full, Wait: toldWait(header)}
 	case http.StatusServiceUnavailable:
 		if header.Get("X-Line-Busy") == "1" {
 			return core.Result{Outcome: logic.Moot}
@@ -176,6 +184,41 @@
 	return core.Result{Outcome: logic.Errored}
 }
 
+// toldWait is the wait that an answer tells; 0 for none.
+func toldWait(header http.Header) time.Duration {
+	ms, err := strconv.ParseInt(header.Get("X-Come-Back-Ms"), 10, 64)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(min(ms, core.MaxHold.Milliseconds())) * time.Millisecond
+}
+
+// readReport is the load report that an answer brings, its values in the order of
+// names; nil if there is none or it can't be read whole.
+func readReport(header http.Header, names []string) []float64 {
+	text := header.Get("Endpoint-Load-Metrics")
+	if len(names) == 0 || text == "" {
+		return nil
+	}
+	out, seen := make([]float64, len(names)), make([]bool, len(names))
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		i := slices.Index(names, name)
+		if i < 0 {
+			continue
+		}
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || seen[i] || !(x >= 0 && x <= math.MaxFloat64) {
+			return nil
+		}
+		out[i], seen[i] = x, true
+	}
+	if slices.Contains(seen, false) {
+		return nil
+	}
+	return out
+}
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
--- a/internal/transport/http/answer_test.go
+++ b/internal/transport/http/answer_test.go
@@ -185,7 +185,7 @@
 		conn, peer := net.Pipe()
 		defer conn.Close()
 		defer peer.Close()
-		r, keep := readAnswer(newReader(in), &cutoff{conn: conn, by: time.Now().Add(byhand.Patience)})
+		r, keep := readAnswer(newReader(in), &cutoff{conn: conn, by: time.Now().Add(byhand.Patience)}, nil, nil)
 		if r.Outcome == logic.Completed && !(strings.Contains(in, "HTTP/1.") && strings.Contains(in, " 200")) {
 			t.Errorf("%q is read as a delivery", in)
 		}
--- a/internal/transport/http/calls.go
+++ b/internal/transport/http/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -49,6 +50,10 @@
 // twice, and it knows whether the last byte was written: that tells what never
 // ran from what may have run. net/http's transport does neither.
 type Transport struct {
+	// Reports names the values of the load reports that answers may carry, in the
+	// order of [core.Result.Load]; empty if there are none. It is set before use.
+	Reports []string
+
 	dialer   net.Dialer
 	linger   time.Duration
 	settle   time.Duration
@@ -71,19 +76,30 @@
 
 // Attempt makes a call that hands a message to an endpoint.
 func (c *Transport) Attempt(ctx context.Context, a *core.Attempt) core.Result {
-	return c.do(ctx, a)
+	return c.do(ctx, request{Attempt: a, begin: a.Begin, write: func(b []byte) []byte {
+		return appendDeliver(b, a.Message, a.Addr, a.GiveUp)
+	}})
 }
 
 // Probe asks an endpoint whether it is well.
 func (c *Transport) Probe(ctx context.Context, ep logic.EndpointID, addr string) logic.Outcome {
-	return c.do(ctx, &core.Attempt{Endpoint: ep, Addr: addr, GiveUp: probeTime}).Outcome
+	a := &core.Attempt{Endpoint: ep, Addr: addr, GiveUp: probeTime}
+	return c.do(ctx, request{Attempt: a, begin: a.Begin, write: func(b []byte) []byte { return appendProbe(b, addr) }}).Outcome
+}
+
+// request is one call. Its attempt says where to, for how long and how carefully.
+type request struct {
+	*core.Attempt
+	begin func() bool           // right before the first byte; whether it may go out
+	write func(b []byte) []byte // appends the request; called after begin
+	body  *bytes.Buffer         // for that of the answer; nil if it means nothing
 }
 
-// do makes a call, a probe if there is no message. When ctx is cancelled the call is called off.
-func (c *Transport) do(ctx context.Context, in *core.Attempt) core.Result {
+// do makes a call. When ctx is cancelled it is called off.
+func (c *Transport) do(ctx context.Context, in request) core.Result {
 	deadline := time.Now().Add(in.GiveUp)
-	conn, err := c.connect(ctx, in, deadline)
-	if !in.Begin() {
+	conn, err := c.connect(ctx, in.Attempt, deadline)
+	if !in.begin() {
 		if err == nil && !c.put(in.Endpoint, conn) {
 			c.drop(conn)
 		}
@@ -104,7 +120,7 @@
 		return core.Result{Outcome: logic.RefusedConn} // its last byte was not written
 	}
 	conn.limit.N = maxAnswer
-	r, keep := readAnswer(conn.r, limit)
+	r, keep := readAnswer(conn.r, limit, c.Reports, in.body)
 	if r.Outcome == logic.Severed && !conn.since.IsZero() {
 		c.mu.Lock()
 		c.brokeAt = time.Now()
@@ -120,14 +136,9 @@
 }
 
 // send writes a request in one go.
-func send(conn net.Conn, in *core.Attempt) error {
+func send(conn net.Conn, in request) error {
 	buf := requests.Get().(*[]byte)
-	b := (*buf)[:0]
-	if in.Message == nil {
-		b = appendProbe(b, in.Addr)
-	} else {
-		b = appendDeliver(b, in.Message, in.Addr, in.GiveUp)
-	}
+	b := in.write((*buf)[:0])
 	_, err := conn.Write(b)
 	if *buf = b; cap(b) <= keepRequest {
 		requests.Put(buf)
--- a/internal/transport/http/calls_test.go
+++ b/internal/transport/http/calls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"reflect"
 	"strings"
 	"syscall"
 	"testing"
@@ -57,7 +58,7 @@
 			t.Fatalf("request went out changed: %+v %q", in.Req, in.Body)
 		}
 		in.Reply(x.status, x.headers...)
-		if r := byhand.Await(t, got, "result"); r != x.want {
+		if r := byhand.Await(t, got, "result"); !reflect.DeepEqual(r, x.want) {
 			t.Errorf("%d %v: got %+v, want %+v", x.status, x.headers, r, x.want)
 		}
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -84,6 +84,7 @@
 	Me             int      // number of this sender
 	Zones          []string // names, in the order of logic.Entry.Zone
 	ConnectTimeout logic.Micros
+	Reports        []string // names of the values in the load reports that answers carry; empty if they carry none
 }
 
 // ParseSettings reads the module's settings from the JSON object of a create
@@ -100,7 +101,11 @@
 		return Deployment{}, err
 	}
 	set, err := in.settings()
-	return Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout)}, err
+	out := Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout)}
+	if in.Load.How == "inline" {
+		out.Reports = in.Load.Names
+	}
+	return out, err
 }
 
 func (in *setup) settings() (logic.Settings, error) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -697,6 +697,9 @@
 	}
 	s.turned[e.dest.kind] = x
 	s.report(e, r.Load)
+	if r.Wait > 0 { // an answer to several messages may tell one beside those that were delivered
+		e.lane.until = max(e.lane.until, s.now+r.Wait)
+	}
 	if r.Outcome == Completed || r.Outcome == Full || r.Outcome == Errored {
 		e.resets = 0
 	}
@@ -721,9 +724,6 @@
 		s.succeeded(e, a.at)
 		s.creep(e.lane)
 	case Full:
-		if r.Wait > 0 {
-			e.lane.until = max(e.lane.until, s.now+r.Wait)
-		}
 		if lastOfCall { // a batch is one call: one refusal
 			s.full(e, r.Wait)
 		}
