Test pushed lists, calls with several messages and load reports

A scripted agent that falls silent and fails, a batch's answers one by one, bodies past 64 KiB, calls called off in part.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -527,3 +527,59 @@
 		t.Errorf("left: %d partners", len(d.partners))
 	}
 }
+
+// calls is a transport that tells of each call with several messages and answers it once it is called off.
+type calls struct {
+	hand
+	out chan several
+}
+
+type several struct {
+	ctx  context.Context
+	call []*Attempt
+}
+
+func (c *calls) Batch(ctx context.Context, call []*Attempt) []Result {
+	c.out <- several{ctx, call}
+	<-ctx.Done()
+	return make([]Result, len(call))
+}
+
+// A call with several messages goes on until each of them is called off, and one that is called off before the call
+// has begun is not in it.
+func TestCallOffOneOfSeveral(t *testing.T) {
+	cfg := testConfig()
+	cfg.Settings.Kinds = []logic.Kind{{Name: "k", Batch: 2}}
+	r := newRig(t, t.TempDir(), cfg)
+	out := make(chan several, 8)
+	r.transport = &calls{out: out}
+	r.dir.eps[1] = target{name: "a"}
+	var outs []logic.CallOut
+	for i := range 5 {
+		id := fmt.Sprint("m", i)
+		r.held[id] = &held{msg: newMessage(id, "safe")}
+		if i < 4 {
+			outs = append(outs, logic.CallOut{ID: id, Endpoint: 1})
+		}
+	}
+	r.callOuts(t.Context(), outs, true)
+	for _, in := range []several{byhand.Await(t, out, "call"), byhand.Await(t, out, "call")} {
+		pair := in.call
+		if len(pair) != 2 {
+			t.Fatalf("a call with %d messages, want 2", len(pair))
+		}
+		first, second := r.held[pair[0].Message.ID], r.held[pair[1].Message.ID]
+		first.stop()
+		first.stop()
+		if pair[0].Begin() || !pair[1].Begin() {
+			t.Error("the one called off may begin, or the other may not")
+		}
+		if in.ctx.Err() != nil {
+			t.Error("the call is over with one message still in it")
+		}
+		second.stop()
+		if ev := byhand.Await(t, r.events, "outcomes").(replyEvent); len(ev) != 2 {
+			t.Errorf("%d outcomes", len(ev))
+		}
+	}
+}
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -36,10 +36,11 @@
 	refused chan int    // each notice turned away: the number of lines
 	mu      sync.Mutex
 	list    platform.List
-	news    chan struct{} // closed when the list changes
-	down    bool          // answers 503 to all
-	silent  bool          // never answers a call for the list
-	deaf    bool          // turns notices away
+	news    chan struct{}                // closed when the list changes
+	down    bool                         // answers 503 to all
+	silent  bool                         // never answers a call for the list
+	deaf    bool                         // turns notices away
+	with    func(settings string) string // changes the senders' settings; nil for none
 }
 
 func newPlatform(t *testing.T) *fakePlatform {
@@ -65,6 +66,11 @@
 func (p *fakePlatform) hosts(w http.ResponseWriter, r *http.Request) {
 	p.asked <- r.URL.RawQuery
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	hold := time.Hour
+	if ms, err := strconv.Atoi(r.URL.Query().Get("hold_ms")); err == nil {
+		hold = time.Duration(ms) * time.Millisecond
+	}
+	held := time.After(hold)
 	for {
 		p.mu.Lock()
 		list, news, down, silent := p.list, p.news, p.down, p.silent
@@ -81,6 +87,12 @@
 		case <-news:
 		case <-r.Context().Done():
 			return
+		case <-held:
+			if !silent {
+				json.NewEncoder(w).Encode(platform.List{Generation: list.Generation})
+				return
+			}
+			held = nil
 		}
 	}
 }
@@ -135,6 +147,10 @@
 
 // configText is a configuration file.
 func configText(p *fakePlatform, known platform.List) []byte {
+	settings := settings
+	if p.with != nil {
+		settings = p.with(settings)
+	}
 	b, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0",
 		"discovery": strings.TrimPrefix(p.srv.URL, "http://"), "seed": "1f",
 		"limits": config.PlatformLimits{Cores: 1, MemoryMB: 192, Sockets: 256, DiskMB: 3}, "known": known,
@@ -240,7 +256,12 @@
 // world is a sender with endpoints and a platform.
 func world(t *testing.T, endpoints int, with ...func(*Platform)) (*testNode, *client, *fakePlatform, []*byhand.Endpoint) {
 	t.Helper()
-	p := newPlatform(t)
+	return worldWith(t, newPlatform(t), endpoints, with...)
+}
+
+// worldWith is a world whose platform is given.
+func worldWith(t *testing.T, p *fakePlatform, endpoints int, with ...func(*Platform)) (*testNode, *client, *fakePlatform, []*byhand.Endpoint) {
+	t.Helper()
 	var eps []*byhand.Endpoint
 	for range endpoints {
 		eps = append(eps, byhand.NewEndpoint(t))
--- a/internal/transport/http/batch.go
+++ b/internal/transport/http/batch.go
@@ -113,9 +113,9 @@
 	if json.Unmarshal(body, &list) != nil {
 		return nil
 	}
-	out, twice := map[string]core.Result{}, map[string]bool{}
+	out, seen := map[string]core.Result{}, map[string]bool{}
 	for _, f := range list {
-		r := core.Result{Wait: whole.Wait, Load: whole.Load}
+		r, ok := core.Result{Wait: whole.Wait, Load: whole.Load}, true
 		switch f.State {
 		case "done":
 			r.Outcome = logic.Completed
@@ -128,15 +128,14 @@
 		case "used_up":
 			r.Outcome = logic.Moot
 		default:
-			continue
+			ok = false
 		}
-		if _, known := out[f.ID]; known {
-			twice[f.ID] = true
+		if ok && !seen[f.ID] {
+			out[f.ID] = r
+		} else { // two words on one message are none
+			delete(out, f.ID)
 		}
-		out[f.ID] = r
-	}
-	for id := range twice { // two words on one message are none
-		delete(out, id)
+		seen[f.ID] = true
 	}
 	return out
 }
--- /dev/null
+++ b/internal/transport/http/batch_test.go
@@ -0,0 +1,181 @@
+package httptransport
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"cometrack/internal/core"
+	"cometrack/internal/message"
+	"cometrack/internal/standin/byhand"
+	"cometrack/logic"
+)
+
+// newBatch is attempts of messages m0, m1, ... with a body each.
+func newBatch(addr string, n int, body string) []*core.Attempt {
+	var out []*core.Attempt
+	for i := range n {
+		a := newCall(addr, body, byhand.Patience)
+		a.Message = &message.Message{ID: fmt.Sprint("m", i), Key: "k<\"", Body: []byte(body)}
+		out = append(out, a)
+	}
+	return out
+}
+
+func goBatch(ctx context.Context, c *Transport, call []*core.Attempt) <-chan []core.Result {
+	ch := make(chan []core.Result, 1)
+	go func() { ch <- c.Batch(ctx, call) }()
+	return ch
+}
+
+// ids are those that a call with several brings, whose bodies must be as given.
+func ids(t *testing.T, in *byhand.InCall, body string) string {
+	t.Helper()
+	var list []item
+	if err := json.Unmarshal([]byte(in.Body), &list); err != nil || in.Req.URL.Path != "/inbox/bulk" {
+		t.Fatalf("%s: %v", in.Req.URL.Path, err)
+	}
+	var out []string
+	for _, x := range list {
+		if string(x.Body) != body || x.Key != "k<\"" {
+			t.Errorf("%s went out changed", x.ID)
+		}
+		out = append(out, x.ID)
+	}
+	return strings.Join(out, " ")
+}
+
+// Each message of a call has the end that the answer gives it and no better: what an answer leaves open may have run.
+func TestBatchAnswers(t *testing.T) {
+	result := func(o logic.Outcome) core.Result { return core.Result{Outcome: o} }
+	all := func(r core.Result) []core.Result { return []core.Result{r, r, r} }
+	const ok = "HTTP/1.1 200 OK\r\n"
+	list := func(head string, fates ...string) string {
+		var parts []string
+		for i, s := range fates {
+			parts = append(parts, fmt.Sprintf(`{"id":"m%d","state":%q}`, i, s))
+		}
+		body := "[" + strings.Join(parts, ",") + "]"
+		return fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n%s", ok, head, len(body), body)
+	}
+	wait := 300 * time.Millisecond
+	for name, x := range map[string]struct {
+		answer string
+		want   []core.Result
+	}{
+		"each its own": {list("", "done", "failed", "busy"), []core.Result{result(logic.Completed), result(logic.Errored), result(logic.Full)}},
+		"over": {list("", "void", "used_up", "done"),
+			[]core.Result{{Outcome: logic.Moot, Over: true}, result(logic.Moot), result(logic.Completed)}},
+		"a wait and a report": {list("X-Come-Back-Ms: 300\r\nEndpoint-Load-Metrics: x1=25,x0=0.5\r\n", "done", "done", "busy"), []core.Result{
+			{Outcome: logic.Completed, Wait: wait, Load: []float64{0.5, 25}}, {Outcome: logic.Completed, Wait: wait, Load: []float64{0.5, 25}},
+			{Outcome: logic.Full, Wait: wait, Load: []float64{0.5, 25}}}},
+		"one left out":   {list("", "done", "done"), []core.Result{result(logic.Completed), result(logic.Completed), result(logic.Spoilt)}},
+		"unknown word":   {list("", "done", "perhaps", "done"), []core.Result{result(logic.Completed), result(logic.Spoilt), result(logic.Completed)}},
+		"no list":        {ok + "Content-Length: 2\r\n\r\n{}", all(result(logic.Spoilt))},
+		"cut short":      {ok + "Content-Length: 40\r\n\r\n[{\"id\":\"m0\",\"state\":\"done\"}", all(result(logic.Spoilt))},
+		"two words":      {ok + "Content-Length: 52\r\n\r\n" + `[{"id":"m0","state":"done"},{"id":"m0","state":"?"}]`, all(result(logic.Spoilt))},
+		"refused":        {"HTTP/1.1 429 x\r\nX-Come-Back-Ms: 300\r\nContent-Length: 0\r\n\r\n", all(core.Result{Outcome: logic.Full, Wait: wait})},
+		"error":          {"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", all(result(logic.Errored))},
+		"too many":       {"HTTP/1.1 413 x\r\nContent-Length: 0\r\n\r\n", all(result(logic.Full))},
+		"not understood": {"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n", all(result(logic.Full))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, c := byhand.NewEndpoint(t), testCaller()
+			c.Reports = []string{"x0", "x1"}
+			got := goBatch(t.Context(), c, newBatch(e.Addr(), 3, "\x00body"))
+			in := byhand.Await(t, e.Calls, "call")
+			if s := ids(t, in, "\x00body"); s != "m0 m1 m2" {
+				t.Errorf("call with %s", s)
+			}
+			in.Conn.Write([]byte(x.answer))
+			if r := byhand.Await(t, got, "results"); !reflect.DeepEqual(r, x.want) {
+				t.Errorf("got %+v, want %+v", r, x.want)
+			}
+			in.Done <- false
+		})
+	}
+}
+
+// A message that may not begin is left out of the call; with none left there is none.
+func TestBatchHeld(t *testing.T) {
+	e, c := byhand.NewEndpoint(t), testCaller()
+	call := newBatch(e.Addr(), 3, "b")
+	call[1].Hold()
+	got := goBatch(t.Context(), c, call)
+	in := byhand.Await(t, e.Calls, "call")
+	if s := ids(t, in, "b"); s != "m0 m2" {
+		t.Errorf("call with %s", s)
+	}
+	in.Reply(503)
+	r := byhand.Await(t, got, "results")
+	if r[0].Outcome != logic.Full || r[1].Outcome != logic.Moot || r[2].Outcome != logic.Full {
+		t.Errorf("got %+v", r)
+	}
+	call = newBatch(e.Addr(), 2, "b")
+	call[0].Hold()
+	call[1].Hold()
+	if r := byhand.Await(t, goBatch(t.Context(), c, call), "results"); r[0].Outcome != logic.Moot || r[1].Outcome != logic.Moot {
+		t.Errorf("got %+v", r)
+	}
+	e.None(t)
+}
+
+// Bodies that do not fit into one call go in the next, on the same slot, and not at all after a refusal.
+func TestBatchTooLarge(t *testing.T) {
+	e, c := byhand.NewEndpoint(t), testCaller()
+	body := strings.Repeat("x", 16<<10)
+	for _, second := range []string{"done", "wait", "full"} {
+		got := goBatch(t.Context(), c, newBatch(e.Addr(), 5, body))
+		in := byhand.Await(t, e.Calls, "first call")
+		if s := ids(t, in, body); s != "m0 m1" || len(in.Body) > maxBatch {
+			t.Errorf("first call with %s, %d bytes", s, len(in.Body))
+		}
+		reply := func(in *byhand.InCall, head, first, second string) {
+			answer := fmt.Sprintf(`[{"id":%q,"state":"done"},{"id":%q,"state":"done"}]`, first, second)
+			fmt.Fprintf(in.Conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
+			in.Done <- true
+		}
+		reply(in, "", "m0", "m1")
+		in = byhand.Await(t, e.Calls, "second call")
+		if s := ids(t, in, body); s != "m2 m3" {
+			t.Errorf("second call with %s", s)
+		}
+		want := slices.Repeat([]logic.Outcome{logic.Completed}, 5)
+		switch second {
+		case "done":
+			reply(in, "", "m2", "m3")
+			byhand.Await(t, e.Calls, "third call").Reply(200)
+		case "wait":
+			reply(in, "X-Come-Back-Ms: 50\r\n", "m2", "m3")
+			want[4] = logic.Moot
+		case "full":
+			in.Reply(503)
+			want[2], want[3], want[4] = logic.Full, logic.Full, logic.Moot
+		}
+		for i, r := range byhand.Await(t, got, "results") {
+			if r.Outcome != want[i] {
+				t.Errorf("m%d: got %v, want %v", i, r.Outcome, want[i])
+			}
+		}
+	}
+}
+
+// A report counts whole or not at all: half of one would be taken for a limit of nothing.
+func TestReadReport(t *testing.T) {
+	for text, want := range map[string][]float64{"x0=0.4,x1=25": {0.4, 25}, " x1=0 , x0=1,other=7": {1, 0}, "x0=0.4": nil, "x0=0.4,x1=": nil,
+		"x0=0.4,x1=-3": nil, "x0=NaN,x1=1": nil, "x0=1,x1=1e999": nil, "x0=1,x0=2,x1=3": nil, "noise": nil, "": nil} {
+		header := map[string][]string{"Endpoint-Load-Metrics": {text}}
+		if got := readReport(header, []string{"x0", "x1"}); !reflect.DeepEqual(got, want) {
+			t.Errorf("%q: got %v, want %v", text, got, want)
+		}
+		if readReport(header, nil) != nil {
+			t.Errorf("%q is read where no reports are told of", text)
+		}
+	}
+}
