--- a/internal/daemon/badinput_test.go
+++ b/internal/daemon/badinput_test.go
@@ -17,6 +17,7 @@
 
 	"cometrack/internal/standin/byhand"
 	"cometrack/internal/standin/partner"
+	"cometrack/internal/standin/traffic"
 )
 
 var update = flag.Bool("update", false, "write docs/operate/bad-input.md anew")
@@ -167,7 +168,7 @@
 // Every kind of bad input has a plain answer, none of it is taken on, and docs/operate/bad-input.md shows them all.
 func TestBadInput(t *testing.T) {
 	p := startPartner(t, partner.Options{Name: "acme"})
-	a := startAlone(t, fileText(t.TempDir(), "", p))
+	a := startAlone(t, traffic.File(t.TempDir(), "", p))
 	var page bytes.Buffer
 	page.WriteString("# What is answered to bad input\n\nThis page is written by `go test ./internal/daemon -run TestBadInput -update`, from what a daemon answered;\n" +
 		"the test fails if it no longer does. Nothing on it is taken on.\n")
--- a/internal/daemon/standalone_test.go
+++ b/internal/daemon/standalone_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"net/url"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -23,24 +20,9 @@
 	"cometrack/internal/sink"
 	"cometrack/internal/standin/byhand"
 	"cometrack/internal/standin/partner"
+	"cometrack/internal/standin/traffic"
 )
 
-// fileText is a file with both fronts on free ports and the partners given.
-func fileText(dir, more string, partners ...*partner.Partner) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "state = %q\n%s\n[front.http]\nlisten = \"127.0.0.1:0\"\n[front.resp]\nlisten = \"127.0.0.1:0\"\n", dir, more)
-	for _, class := range []string{"safe", "keyed", "unsafe"} {
-		fmt.Fprintf(&b, "[[class]]\nname = %q\neffect = %q\naim = \"2s\"\ndeadline = \"20s\"\n", class, class)
-	}
-	for _, p := range partners {
-		fmt.Fprintf(&b, "[[partner]]\nname = %q\nendpoints = [%q]\n", p.Name(), p.Addr())
-		if p.Rate() > 0 {
-			fmt.Fprintf(&b, "rate = %d\n", p.Rate())
-		}
-	}
-	return b.String()
-}
-
 func startPartner(t *testing.T, opts partner.Options) *partner.Partner {
 	t.Helper()
 	p, err := partner.Start(opts)
@@ -88,30 +70,13 @@
 // state asks over HTTP; empty if nothing is known.
 func state(t *testing.T, addr, id, wait string) string {
 	t.Helper()
-	s, err := askState(addr, id, wait)
+	s, err := traffic.State(addr, id, wait)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return s
 }
 
-func askState(addr, id, wait string) (string, error) {
-	resp, err := http.Get("http://" + addr + "/v1/messages/" + url.PathEscape(id) + "?wait=" + wait)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	var s struct{ State string }
-	switch resp.StatusCode {
-	case http.StatusNotFound:
-		return "", nil
-	case http.StatusOK:
-		err := json.NewDecoder(resp.Body).Decode(&s)
-		return s.State, err
-	}
-	return "", fmt.Errorf("state of %s: %s", id, resp.Status)
-}
-
 // respState asks over RESP2.
 func respState(t *testing.T, c *client, id string) string {
 	t.Helper()
@@ -135,7 +100,7 @@
 // the other port says which, and what the partner saw agrees.
 func TestDisconnectAfterEveryByte(t *testing.T) {
 	p := startPartner(t, partner.Options{Name: "acme"})
-	a := startAlone(t, fileText(t.TempDir(), "", p))
+	a := startAlone(t, traffic.File(t.TempDir(), "", p))
 	ports := map[string]string{"http": a.HTTPAddr(), "resp": a.RESPAddr()}
 	requests := map[string]func(id string) string{
 		"http": func(id string) string {
@@ -204,7 +169,7 @@
 // The same id raced on both ports is one message; another one under its id is refused on both.
 func TestSameIDOnBothPorts(t *testing.T) {
 	p := startPartner(t, partner.Options{Name: "acme"})
-	a := startAlone(t, fileText(t.TempDir(), "", p))
+	a := startAlone(t, traffic.File(t.TempDir(), "", p))
 	c := dial(t, a.RESPAddr())
 	post := func(id, body string) int {
 		resp, err := http.Post("http://"+a.HTTPAddr()+"/v1/messages?partner=acme&class=unsafe&left=20s&id="+id, "", strings.NewReader(body))
@@ -223,7 +188,7 @@
 		asked := make(chan string, 1)
 		go func() { status <- post(id, "same") }()
 		go func() {
-			s, _ := askState(a.HTTPAddr(), id, "0s")
+			s, _ := traffic.State(a.HTTPAddr(), id, "0s")
 			asked <- s
 		}()
 		if got := c.do("MSG.PUT", "0", id, "c=unsafe,d=20000,dest=acme", "same"); got != "+OK" {
@@ -262,7 +227,7 @@
 func TestFairness(t *testing.T) {
 	steady := startPartner(t, partner.Options{Name: "steady"})
 	stuck := startPartner(t, partner.Options{Name: "stuck", Phases: []partner.Phase{{Mode: partner.Dead, For: time.Hour}}})
-	a := startAlone(t, fileText(t.TempDir(), "[limits]\nopen_messages = 100\ndescriptors = 256\n", steady, stuck))
+	a := startAlone(t, traffic.File(t.TempDir(), "[limits]\nopen_messages = 100\ndescriptors = 256\n", steady, stuck))
 	flood, stop := context.WithCancel(t.Context())
 	defer stop()
 	refused := make(chan int, 1<<16)
@@ -303,7 +268,7 @@
 // Client libraries work as they come.
 func TestGoRedis(t *testing.T) {
 	p := startPartner(t, partner.Options{Name: "acme"})
-	a := startAlone(t, fileText(t.TempDir(), "", p))
+	a := startAlone(t, traffic.File(t.TempDir(), "", p))
 	c := redis.NewClient(&redis.Options{Addr: a.RESPAddr()})
 	defer c.Close()
 	if s, err := c.Ping(t.Context()).Result(); err != nil || s != "PONG" {
@@ -330,7 +295,7 @@
 	}
 	one, two, three := dead("one"), dead("two"), dead("three")
 	dir := t.TempDir()
-	a := startAlone(t, fileText(dir, "", one, two, three))
+	a := startAlone(t, traffic.File(dir, "", one, two, three))
 	c := dial(t, a.RESPAddr())
 	for _, x := range [][2]string{{"one", "safe"}, {"two", "unsafe"}, {"three", "keyed"}, {"one", "keyed"}} {
 		if got := c.do("MSG.PUT", "0", x[0]+"-"+x[1], "c="+x[1]+",d=20000,k=k,dest="+x[0], "x"); got != "+OK" {
@@ -341,7 +306,7 @@
 	a.halt()
 	one.Set(partner.Well)
 	two.Set(partner.Well)
-	text := fileText(dir, "", two, one) // in another order, and three is gone
+	text := traffic.File(dir, "", two, one) // in another order, and three is gone
 	keyed := strings.Index(text, "[[class]]\nname = \"keyed\"")
 	unsafe := strings.Index(text, "[[class]]\nname = \"unsafe\"")
 	partners := strings.Index(text, "[[partner]]")
@@ -376,7 +341,7 @@
 	sick := startPartner(t, partner.Options{Name: "sick", Phases: []partner.Phase{{Mode: partner.Sick, For: time.Hour}}})
 	dir := t.TempDir()
 	path := filepath.Join(dir, "ends.jsonl")
-	a := startAlone(t, fileText(dir, fmt.Sprintf("[sink.file]\npath = %q\n", path), p, sick))
+	a := startAlone(t, traffic.File(dir, fmt.Sprintf("[sink.file]\npath = %q\n", path), p, sick))
 	c := dial(t, a.RESPAddr())
 	for _, to := range []string{"acme", "sick"} {
 		if got := c.do("MSG.PUT", "0", "to-"+to, "c=unsafe,d=20000,dest="+to, "x"); got != "+OK" {
@@ -395,19 +360,12 @@
 	}
 }
 
-func readEnds(t *testing.T, path string) (list []sink.Line) {
+func readEnds(t *testing.T, path string) []sink.Line {
 	t.Helper()
-	text, err := os.ReadFile(path)
+	list, err := traffic.Ends(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for line := range strings.Lines(string(text)) {
-		var l sink.Line
-		if err := json.Unmarshal([]byte(line), &l); err != nil {
-			t.Fatalf("%q: %v", line, err)
-		}
-		list = append(list, l)
-	}
 	return list
 }
 
@@ -415,7 +373,7 @@
 func TestThousandLongPolls(t *testing.T) {
 	p := startPartner(t, partner.Options{Name: "acme"})
 	p.Set(partner.Hang)
-	a := startAlone(t, fileText(t.TempDir(), "[limits]\ndescriptors = 8192\n", p))
+	a := startAlone(t, traffic.File(t.TempDir(), "[limits]\ndescriptors = 8192\n", p))
 	c := dial(t, a.RESPAddr())
 	if got := c.do("MSG.PUT", "0", "a", "c=safe,d=20000,dest=acme", "x"); got != "+OK" {
 		t.Fatal(got)
@@ -424,7 +382,7 @@
 	got := make(chan string, many)
 	for range many {
 		go func() {
-			s, err := askState(a.HTTPAddr(), "a", "20s")
+			s, err := traffic.State(a.HTTPAddr(), "a", "20s")
 			if err != nil {
 				s = err.Error()
 			}
