Give a further call of a batch only the time that its messages have left

Seen on reading the change again: what did not fit into the first call went out with its messages' whole time anew. What has no time left is not sent. Also: a step that sends nothing makes no map, and a guard for words that the module does not say went.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -13,6 +13,9 @@
 // as far as its kind allows, in the order of the module's words. Without their
 // records in the journal they are not made.
 func (c *Core) callOuts(work context.Context, outs []logic.CallOut, written bool) {
+	if len(outs) == 0 {
+		return
+	}
 	calls := map[logic.EndpointID][]*Attempt{} // that may take more
 	for _, a := range outs {
 		out := c.attempt(a)
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"cometrack/internal/journal"
@@ -65,16 +64,12 @@
 	}
 	clear(c.tell)
 	c.tell = c.tell[:0]
-	var outs []logic.CallOut // some of them may share a call
+	var outs []logic.CallOut // some may share a call; the module says nothing more of one in the same step
 	for _, a := range actions {
 		if out, ok := a.(logic.CallOut); ok {
 			outs = append(outs, out)
 			continue
 		}
-		if id := messageOf(a); id != "" && slices.ContainsFunc(outs, func(out logic.CallOut) bool { return out.ID == id }) {
-			c.callOuts(work, outs, err == nil)
-			outs = outs[:0]
-		}
 		c.act(work, a, answers, now)
 	}
 	c.callOuts(work, outs, err == nil)
@@ -120,19 +115,6 @@
 	}
 }
 
-// messageOf is the message that an action is about, if any.
-func messageOf(a logic.Action) string {
-	switch a := a.(type) {
-	case logic.Cancel:
-		return a.ID
-	case logic.Refuse:
-		return a.ID
-	case logic.Fail:
-		return a.ID
-	}
-	return ""
-}
-
 // act carries out one word of the module that is no call.
 func (c *Core) act(work context.Context, a logic.Action, answers map[string]Answer, now int64) {
 	switch a := a.(type) {
--- a/internal/transport/http/batch.go
+++ b/internal/transport/http/batch.go
@@ -41,6 +41,7 @@
 // Batch hands several messages to one endpoint in one call. See [core.Transport].
 func (c *Transport) Batch(ctx context.Context, call []*core.Attempt) []core.Result {
 	var out []core.Result
+	start := time.Now()
 	for rest := call; len(rest) > 0; {
 		n, size := 0, len("[]")
 		for n < len(rest) {
@@ -50,10 +51,20 @@
 			n++
 		}
 		var part []core.Result
-		if n == 1 {
-			part = []core.Result{c.Attempt(ctx, rest[0])}
-		} else {
-			part = c.batch(ctx, rest[:n])
+		left := rest[0].GiveUp // the least of what the messages have, less what earlier calls took
+		for _, a := range rest[:n] {
+			left = min(left, a.GiveUp)
+		}
+		switch left -= time.Since(start); {
+		case left <= 0: // never sent; the endpoint is not to blame
+			part = make([]core.Result, n)
+			for i := range part {
+				part[i].Outcome = logic.Moot
+			}
+		case n == 1:
+			part = []core.Result{c.single(ctx, rest[0], left)}
+		default:
+			part = c.batch(ctx, rest[:n], left)
 		}
 		out, rest = append(out, part...), rest[n:]
 		if slices.ContainsFunc(part, func(r core.Result) bool { return r.Outcome != logic.Completed || r.Wait > 0 }) {
@@ -67,12 +78,11 @@
 }
 
 // batch makes one call with all that may begin.
-func (c *Transport) batch(ctx context.Context, call []*core.Attempt) []core.Result {
+func (c *Transport) batch(ctx context.Context, call []*core.Attempt, left time.Duration) []core.Result {
 	// The call has the time of the message that has least: one answer speaks for all, and what comes after the time of
 	// one of them is late.
-	head := &core.Attempt{Endpoint: call[0].Endpoint, Addr: call[0].Addr, GiveUp: call[0].GiveUp}
+	head := &core.Attempt{Endpoint: call[0].Endpoint, Addr: call[0].Addr, GiveUp: left}
 	for _, a := range call {
-		head.GiveUp = min(head.GiveUp, a.GiveUp)
 		head.Fragile = head.Fragile || a.Fragile
 	}
 	var sent []item
--- a/internal/transport/http/calls.go
+++ b/internal/transport/http/calls.go
@@ -76,8 +76,13 @@
 
 // Attempt makes a call that hands a message to an endpoint.
 func (c *Transport) Attempt(ctx context.Context, a *core.Attempt) core.Result {
-	return c.do(ctx, request{Attempt: a, begin: a.Begin, write: func(b []byte) []byte {
-		return appendDeliver(b, a.Message, a.Addr, a.GiveUp)
+	return c.single(ctx, a, a.GiveUp)
+}
+
+func (c *Transport) single(ctx context.Context, a *core.Attempt, giveUp time.Duration) core.Result {
+	head := &core.Attempt{Endpoint: a.Endpoint, Addr: a.Addr, Fragile: a.Fragile, GiveUp: giveUp}
+	return c.do(ctx, request{Attempt: head, begin: a.Begin, write: func(b []byte) []byte {
+		return appendDeliver(b, a.Message, a.Addr, giveUp)
 	}})
 }
 
