--- /dev/null
+++ b/logic/gate.go
@@ -0,0 +1,231 @@
+package logic
+
+// Whether and when a message may go to an endpoint: rules, health, budgets, paces. Tuned values are in logic.go.
+
+import "slices"
+
+// ---- Rules gate ----------------------------------------------------------------------
+
+// gate says whether m may go to e now, and if not, when to look again. Every send of a message passes it.
+func (s *Sender) gate(m *msg, e *endpoint) (bool, Micros) {
+	switch {
+	case e.state != Ready || m.over || m.out != nil: // drain; one attempt at a time
+		return false, never
+	case s.now < max(e.lane.until, m.rest): // told wait
+		return false, max(e.lane.until, m.rest)
+	case s.set.MaxTries > 0 && m.tries >= s.set.MaxTries:
+		return false, never
+	case m.deadline-s.now <= max(s.usual(m), 2*s.set.Tick): // median gate
+		return false, never
+	}
+	if s.closeAt != 0 && s.now+s.lasts(m, e) > s.closeAt { // it stays in the journal for the next start
+		return false, never
+	}
+	if l := m.line; l != nil { // order of its key
+		if l.q[0] != m {
+			return false, never
+		}
+		if s.now < l.quiet && l.by != m {
+			return false, l.quiet
+		}
+	}
+	if m.mayRun { // effect
+		c := m.class
+		switch {
+		case c.Effect == Unsafe:
+			return false, never
+		case c.Effect == Keyed && (c.ByZone && e.zone != m.mayZone ||
+			s.now > m.firstMay+c.Window-s.set.Tick):
+			return false, never
+		}
+	}
+	if s.joins(m, e) {
+		return true, 0
+	}
+	if s.busy >= s.set.Slots || e.lane.inflight >= (s.set.Slots+1)/2 { // slots
+		return false, never
+	}
+	if at := s.health(m, e); at > s.now {
+		return false, at
+	}
+	if at := s.budget(e); at > s.now {
+		return false, at
+	}
+	if at := s.paced(e.lane); at > s.now {
+		return false, at
+	}
+	return true, 0
+}
+
+// lasts is the time that an attempt needs before this sender stops. One that is cut off by the stop is resent
+// if its class allows it, but an unsafe one is lost.
+func (s *Sender) lasts(m *msg, e *endpoint) Micros {
+	if h := &e.dest.hist; m.class.Effect != Unsafe && h.total >= minWeight {
+		return h.p95
+	}
+	return s.stuckAfter(e.dest, m)
+}
+
+// health holds messages back from an endpoint that seems out: single trials only, unsafe messages last.
+func (s *Sender) health(m *msg, e *endpoint) Micros {
+	if e.suspect {
+		switch {
+		case e.inflight > 0 || s.onTrial() >= max(1, s.set.Slots*2/3):
+			return never
+		case m.class.Effect == Unsafe && s.now < m.first+m.class.Aim:
+			return m.first + m.class.Aim
+		}
+		return e.trialAt
+	}
+	if m.class.Effect == Unsafe && e.bad > badUnsafe && s.now < m.first+m.class.Aim {
+		return m.first + m.class.Aim
+	}
+	// Outages mostly take all endpoints: after one has failed, the others are tried singly until they answer.
+	if e.inflight > 0 && e.lane == e.dest.lane {
+		for _, x := range e.dest.eps {
+			if x.suspect && x.lastBad > e.lastOK {
+				return never
+			}
+		}
+	}
+	return 0
+}
+
+// budget keeps what goes to a destination after an outage under this sender's share of what topples it. The
+// endpoints of a lane that are cold share one budget: the lane falls over as a whole.
+func (s *Sender) budget(e *endpoint) Micros {
+	if e.cold && !e.suspect && s.now >= e.backAt+s.set.WarmAfter {
+		e.cold = false
+	}
+	if !e.cold && !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
+		return x.cold && x.lane == e.lane && x.lastBad > e.well // e did not answer while x was out
+	}) {
+		return 0
+	}
+	// Each cold endpoint counts by the time since its return; one that is out still, as if it returned now; and
+	// e, if it was not tried meanwhile, as the coldest.
+	ups, least, cold, last, long := 0.0, 1.0, 0, []Micros(nil), s.set.FallWindow
+	for _, x := range e.dest.eps {
+		if (!x.cold && x != e) || x.lane != e.lane {
+			continue
+		}
+		cold++
+		last = append(last, x.sent...)
+		if x.cold {
+			up := 0.0
+			if !x.suspect {
+				up = min(1, seconds(s.now-x.backAt)/seconds(s.set.WarmAfter))
+			}
+			ups, least = ups+up, min(least, up)
+		}
+	}
+	if !e.cold {
+		ups += least
+	}
+	c := s.capacity(e) * float64(cold)
+	share := s.set.ColdFrom + (1-s.set.ColdFrom)*ups/float64(cold)
+	k := s.set.FallMultiple * share * seconds(long)
+	most := k * c / float64(s.set.Senders)
+	slices.Sort(last)
+	if most < 1 {
+		// Many senders: our share is that of our messages among all since the outage began, which add up however
+		// many saw it; and one call goes in a longer span, at a time of our own.
+		own := sendAgain * float64(e.dest.came) / seconds(s.now-e.dest.downAt+outage)
+		if e.lane != e.dest.lane {
+			own /= float64(len(e.dest.eps))
+		}
+		most = max(most, k*min(own, c/2))
+		long = Micros(float64(long) / min(most, 1))
+		at := max(e.lane.until, e.dest.downAt)
+		if n := len(last); n > 0 {
+			at = max(at, last[n-1]+long/2)
+		}
+		if most < 1 {
+			return at + Micros(e.lane.phase*float64(long))
+		}
+	}
+	if n := since(last, s.now-long); float64(n+1) > most {
+		return last[len(last)-n] + long + 1
+	}
+	return 0
+}
+
+// capacity is a low guess of the calls a second that an endpoint takes.
+func (s *Sender) capacity(e *endpoint) float64 {
+	c := e.lane.limit
+	if c == 0 {
+		c = max(e.lane.peak, paceFloor)
+	} else if s.set.Weights == WeightsRough && !e.lane.told {
+		c /= 1.5
+	}
+	if e.lane == e.dest.lane {
+		c /= float64(max(len(e.dest.eps), 1))
+	}
+	return c
+}
+
+// ---- Pace ----------------------------------------------------------------------------
+
+// paced says when the lane may take its next call.
+func (s *Sender) paced(l *lane) Micros {
+	r := l.pace
+	if l.limit > 0 { // where a limit is told, it bounds the pace from the start
+		lim := l.limit
+		if s.set.Weights == WeightsRough && !l.told {
+			lim *= 1.5
+		}
+		if r == 0 || r > lim {
+			r = lim
+		}
+	}
+	if r == 0 {
+		return 0
+	}
+	l.tokens = min(l.tokens+r*seconds(s.now-l.filled), max(1, r*seconds(s.set.Save)))
+	l.filled = s.now
+	if l.tokens >= 1-1e-9 {
+		return 0
+	}
+	return s.now + Micros((1-l.tokens)/r*float64(Second)) + 1
+}
+
+// refused slows a lane down: the pace starts at the last second's rate and is halved at most once a second.
+func (s *Sender) refused(l *lane) {
+	if s.now < l.halved+paceSpan && l.pace > 0 {
+		return
+	}
+	switch f := s.floor(l); {
+	case s.many && f < paceFloor && l.until <= s.now: // many: rest, or all that come keep the limit used up
+		l.pace = max(f, 1/seconds(shyMost))
+	case s.many && f < paceFloor || l.pace == 0:
+		l.pace = max(f, float64(since(l.sent, s.now-paceSpan)))
+	default:
+		l.pace = max(f, l.pace/2)
+	}
+	l.halved = s.now
+	s.paced(l)
+	// Others were refused too: the next call comes half a pace early or late, or up to one after a wait.
+	l.tokens = min(l.tokens, s.rng.Float64()-0.5)
+	if l.until > s.now {
+		l.filled, l.tokens = l.until, l.tokens+0.5
+	}
+}
+
+// floor is one call a second, but no more than an even share of a limit that is told: with many senders at a
+// destination that counts refused calls, floors alone would use the limit up.
+func (s *Sender) floor(l *lane) float64 {
+	if l.limit > 0 {
+		return min(paceFloor, l.limit/float64(s.set.Senders))
+	}
+	return paceFloor
+}
+
+func (s *Sender) creep(l *lane) {
+	if l.pace == 0 {
+		return
+	}
+	l.pace += paceCreep * max(l.pace, l.limit/float64(s.set.Senders))
+	if s.many && s.floor(l) < paceFloor || l.pace > paceFree*float64(since(l.sent, s.now-paceSpan)+1) {
+		l.pace = 0
+	}
+}
--- /dev/null
+++ b/logic/outcomes.go
@@ -0,0 +1,337 @@
+package logic
+
+// What attempts tell: latencies and τ, calls that hang, health. The tuned values are in logic.go.
+
+import (
+	"math"
+	"slices"
+)
+
+// ---- Restart time τ ------------------------------------------------------------------
+
+var edges = func() (e [binCount]Micros) {
+	x := float64(binBase)
+	for i := range e {
+		e[i] = Micros(x)
+		x *= binRatio
+	}
+	return e
+}()
+
+func (h *hist) add(now, took Micros, cut bool) {
+	f := math.Exp2(-float64(now-h.at) / float64(halfLife))
+	h.at = now
+	for i := range h.w {
+		h.w[i] *= f
+	}
+	h.total, h.cuts = h.total*f, h.cuts*f
+	if cut {
+		h.cuts++
+	} else {
+		h.w[bin(took)]++
+		h.total++
+	}
+	h.update()
+}
+
+// update finds τ, the edge with the least mean time to an answer under unlimited restarts, and percentiles.
+func (h *hist) update() {
+	h.tau, h.median, h.p95 = 0, 0, 0
+	all := h.total + max(h.cuts, 0)
+	var m0, m1 float64
+	best, bestAt, wait := math.Inf(1), Micros(0), math.Inf(1)
+	for i, edge := range edges {
+		low := Micros(0)
+		if i > 0 {
+			low = edges[i-1]
+		}
+		m0 += h.w[i]
+		m1 += h.w[i] * float64(low+edge) / 2
+		if h.median == 0 && m0 >= h.total/2 {
+			h.median = edge
+		}
+		if h.p95 == 0 && m0 >= 0.95*h.total {
+			h.p95 = edge
+		}
+		if m0 == 0 {
+			continue
+		}
+		p := m0 / all
+		wait = (m1/all + float64(edge)*(1-p)) / p
+		if wait < best {
+			best, bestAt = wait, edge
+		}
+	}
+	if h.total >= tauWeight && best < tauGain*wait {
+		h.tau = bestAt
+	}
+}
+
+// stuckAfter is the time after which an unanswered call speaks for an outage.
+func (s *Sender) stuckAfter(d *dest, m *msg) Micros {
+	h := &d.hist
+	if h.total < minWeight {
+		h = &s.byClass[m.ci]
+	}
+	if h.total < minWeight {
+		return stuckBlind
+	}
+	return max(Micros(stuckTimes*float64(h.p95)), 3*h.median, stuckLeast)
+}
+
+// cutLong calls off attempts at τ, and those that hang at an endpoint that answers nothing.
+func (s *Sender) cutLong() {
+	var oldest *attempt
+	for _, a := range s.flying {
+		if a.cancelled || a.m.flows {
+			continue
+		}
+		e, age := a.ep, s.now-a.at
+		stuck := s.stuckAfter(e.dest, a.m)
+		if !a.stuck && e.lastOK < a.at {
+			if a.stuck = age > stuck; a.stuck {
+				// No outcome yet, so nothing is known to have failed: hold back, but set no budget.
+				s.suspect(e, "silent")
+			}
+		}
+		if !a.late && age > patience*stuck {
+			// Ours: a call still out past what is usual counts as lasting past τ until it answers. Else lost
+			// answers, with all others quick, never show in the histogram and hold slots to their deadline.
+			a.late = true
+			e.dest.hist.add(s.now, age, true)
+			s.byClass[a.m.ci].add(s.now, age, true)
+		}
+		if age <= patience*stuck {
+			s.at(a.at + 1 + stuck*Micros(1+min(age/max(stuck, 1), patience-1)))
+		}
+		if a.m.over || !s.set.MayCancel {
+			continue
+		}
+		if a.m.class.Effect == Unsafe {
+			if age > patience*stuck && (oldest == nil || a.at < oldest.at) {
+				oldest = a
+			}
+			continue
+		}
+		long := stuck << a.m.cuts
+		if a.stuck && e.suspect && (age > patience*long || age > long && s.elsewhere(e)) {
+			a.m.cuts = min(a.m.cuts+1, maxCuts)
+			s.cancel(a)
+			continue
+		}
+		h := &e.dest.hist
+		if h.total < tauWeight {
+			h = &s.byClass[a.m.ci]
+		}
+		if h.tau > 0 && s.mayRestart(a) {
+			limit := max(h.tau<<a.m.cuts, long)
+			if age > limit {
+				a.cut = true
+				a.m.cuts++
+				s.cancel(a)
+			} else {
+				s.at(a.at + limit + 1)
+			}
+		}
+	}
+	// An unsafe call cannot be sent again, so it may wait; but not with the last slot, while others could go.
+	if oldest != nil && s.busy >= s.set.Slots && s.set.Slots > 0 {
+		for _, m := range s.held {
+			if m.out == nil && m.dest != oldest.m.dest {
+				s.cancel(oldest)
+				break
+			}
+		}
+	}
+}
+
+// mayRestart: a restart must have attempts and time left, and must not add to the load of a destination that
+// refuses or recovers, unless the call holds one of the last slots.
+func (s *Sender) mayRestart(a *attempt) bool {
+	m, e := a.m, a.ep
+	if m.cuts >= maxCuts || s.set.MaxTries > 0 && m.tries >= s.set.MaxTries {
+		return false
+	}
+	if s.busy < s.set.Slots && (e.lane.pace > 0 || e.cold) {
+		return false
+	}
+	if m.class.Effect == Keyed && s.now > m.firstMay+m.class.Window-Second {
+		return false
+	}
+	return m.deadline-s.now > 2*max(s.usual(m), e.dest.hist.tau)
+}
+
+// ---- Outcomes ------------------------------------------------------------------------
+
+func (s *Sender) reply(r Reply) {
+	m := s.msgs[r.ID]
+	if m == nil || m.out == nil || m.out.n != r.Attempt {
+		return
+	}
+	a, e := m.out, m.out.ep
+	lastOfCall := s.landed(a)
+	x := s.turned[e.dest.kind] * (1 - turnAlpha)
+	if r.Outcome == Full {
+		x += turnAlpha
+	}
+	s.turned[e.dest.kind] = x
+	s.report(e, r.Load)
+	if r.Wait > 0 { // an answer to several messages may tell one beside those that were delivered
+		e.lane.until = max(e.lane.until, s.now+r.Wait)
+	}
+	if r.Outcome == Completed || r.Outcome == Full || r.Outcome == Errored {
+		e.resets = 0
+	}
+	if r.Outcome != Full && r.Outcome != RefusedConn && r.Outcome != Moot {
+		m.mayRun = true
+	}
+	if m.line != nil && (r.Outcome == Overdue || r.Outcome == Severed || r.Outcome == Recalled) {
+		m.line.quiet, m.line.by = max(m.line.quiet, s.now+s.set.KeyQuiet), m
+	}
+	switch r.Outcome {
+	case Completed:
+		for _, h := range []*hist{&e.dest.hist, &s.byClass[m.ci]} {
+			if a.late {
+				h.cuts--
+			}
+			h.add(s.now, r.Took, false)
+		}
+		e.slow += badAlpha * (float64(r.Took) - e.slow)
+		if e.slow == 0 {
+			e.slow = float64(r.Took)
+		}
+		s.succeeded(e, a.at)
+		s.creep(e.lane)
+	case Full:
+		if lastOfCall { // a batch is one call: one refusal
+			s.full(e, r.Wait)
+		}
+		if s.many && s.floor(e.lane) < paceFloor && !r.NoMore && !m.over {
+			s.again(m, e)
+		}
+	case Recalled, Overdue:
+		if a.cut {
+			if !a.late {
+				e.dest.hist.add(s.now, s.now-a.at, true)
+			}
+			e.slow += badAlpha * max(0, float64(s.now-a.at)-e.slow)
+		} else if a.stuck && e.lastOK < a.at {
+			s.failed(e, "silent")
+		}
+	case Spoilt: // from any endpoint alike, so it tells nothing of health unless nothing else comes
+		if e.spoilt++; e.spoilt >= spoiltDown {
+			s.failed(e, "spoilt answers")
+		}
+	case RefusedConn:
+		if e.resets++; e.resets > 1 || e.lastOK < s.now-lately {
+			s.failed(e, "refuses connections")
+		}
+	case Severed:
+		// A connection that breaks may be at fault itself: one that was kept too long, a box in between. An
+		// endpoint that is down breaks all, and takes no new ones.
+		if e.resets++; e.resets >= resetsDown || e.suspect {
+			s.failed(e, "resets")
+		}
+		m.rest = s.now + errorRest
+	case Errored:
+		s.failed(e, "errors")
+		m.rest = s.now + errorRest<<min(m.tries, 5)
+	}
+	// Connections of many senders, idle ones counted, fill an endpoint: those that we use rarely are given back,
+	// unless new ones are dear.
+	e.warm = s.now + s.set.ConnIdle
+	if n := len(e.sent); s.many && s.set.ConnPrice < dearConn && e.inflight == 0 &&
+		(n < 2 || s.now-e.sent[n-2] > reuse) {
+		e.warm = s.now
+		s.do(Release{e.id})
+	}
+	if r.NoMore || m.over {
+		s.close(m)
+		return
+	}
+	s.endIfStuck(m)
+}
+
+// again decides on a refused message where the floors of all senders add up past the limit. Calls tried
+// again, by clients too, use up limits that count refusals. While the kind turns few away, a message rests
+// for a part of its time left, so that clumps spread; with more, only the worthier do.
+func (s *Sender) again(m *msg, e *endpoint) {
+	x := s.turned[e.dest.kind]
+	if x > turnShare*m.class.Worth/s.meanWorth {
+		s.do(Fail{ID: m.id})
+		s.close(m)
+		return
+	}
+	part := (restPart + x) * (0.5 + s.rng.Float64())
+	m.rest = max(s.now, e.lane.until) + Micros(part*float64(m.deadline-s.now))
+}
+
+// succeeded notes an answer to what was sent at a time. One sent before the last failure tells nothing of a
+// return: else a call that was under way when a destination shut would end the watch before it opens.
+func (s *Sender) succeeded(e *endpoint, sent Micros) {
+	if e.suspect && sent < e.lastBad {
+		return
+	}
+	if e.suspect {
+		s.log("endpoint %d answers again", e.id)
+		e.suspect, e.backAt = false, s.now
+		e.trialGap = 0
+	}
+	// An answer while a sibling is out shows that e is well; one after its return may be of the return itself.
+	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
+		return x.cold && !x.suspect && x.lane == e.lane && x.lastBad > e.well
+	}) {
+		e.well = max(e.well, sent)
+	}
+	e.lastOK = s.now
+	e.fails, e.fulls, e.spoilt, e.lane.fulls = 0, 0, 0, 0
+	e.bad *= 1 - badAlpha
+}
+
+// failed notes a sign of an outage at e: an error, a reset, no connection or no answer.
+func (s *Sender) failed(e *endpoint, how string) {
+	e.fails++
+	e.lastBad = s.now
+	e.bad += badAlpha * (1 - e.bad)
+	if e.fails >= 2 || e.bad > badShare || how != "errors" {
+		s.takeOut(e, how)
+	}
+}
+
+// full notes a refusal; refusals in a row over longer than a limit's window, or a long told wait, mean shut.
+// While the last report says that the limit is used up, only the latter does.
+// Many senders come too rarely to tell by four: those that were refused twice would topple what opens again.
+func (s *Sender) full(e *endpoint, wait Micros) {
+	s.refused(e.lane)
+	e.fulls++
+	l := e.lane
+	if l.fulls++; l.fulls == 1 {
+		l.firstFull = s.now
+	}
+	if e.suspect || wait > longWait || !l.spent && (l.fulls >= fullsDown || s.many && l.fulls > 1) &&
+		s.now-l.firstFull > fullsSpan {
+		e.lastBad = s.now
+		s.takeOut(e, "refuses all")
+	}
+}
+
+// takeOut takes an endpoint for out: from now on single trials, and after its return a budget.
+func (s *Sender) takeOut(e *endpoint, how string) {
+	s.suspect(e, how)
+	if !e.cold {
+		e.cold = true
+		e.dest.came, e.dest.downAt = 1, s.now
+	}
+}
+
+func (s *Sender) suspect(e *endpoint, how string) {
+	if !e.suspect {
+		s.log("endpoint %d out: %s", e.id, how)
+		e.suspect, e.trialGap, e.trialAt = true, trialGap, s.now+trialGap
+	}
+}
+
+func (s *Sender) backOff(e *endpoint) {
+	e.trialGap = min(2*max(e.trialGap, trialGap), trialMost)
+	e.trialAt = s.now + e.trialGap*Micros(80+s.rng.IntN(40))/100
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -7,7 +7,7 @@
 	"slices"
 )
 
-// State of a Sender, and helpers that only keep it. What to do with it is decided in logic.go.
+// State of a Sender, and helpers that only keep it. What to do with it is decided in logic.go and beside.
 
 // dest is a destination. Its lane is the limit that its endpoints share; routes apart have one each.
 type dest struct {
