--- a/logic/gate.go
+++ b/logic/gate.go
@@ -1,6 +1,6 @@
 package logic
 
-// Whether and when a message may go to an endpoint: rules, health, budgets, paces. Tuned values are in logic.go.
+// Whether and when a message may go to an endpoint: rules, health, budgets, paces. Values are in logic.go.
 
 import "slices"
 
