--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,8 @@
 package logic
 
-// Decisions on the list, the queue and endings, and all tuned values; gate.go and outcomes.go have the rest.
-// The interface (settings, events, actions) is in logic/types.go. What is marked "design" comes from the design
-// page, what is marked "ours" is our own.
+// Decisions on the list, the queue and endings, and all tuned values; the rest is in gate.go, outcomes.go.
+// The interface (settings, events, actions) is in logic/types.go. What is marked "design" comes from the
+// design page, what is marked "ours" is our own.
 
 import (
 	"cmp"
