--- a/internal/daemon/clients_test.go
+++ b/internal/daemon/clients_test.go
@@ -9,6 +9,7 @@
 
 	"cometrack/internal/source/platform"
 	"cometrack/internal/standin/byhand"
+	"cometrack/internal/standin/discovery"
 )
 
 // ended reads until the sender closes the connection.
@@ -103,12 +104,12 @@
 // A start with an empty list: nobody knows what there is, so clients are asked to come again; once discovery has
 // told, an unknown destination is an error.
 func TestUnknownDestination(t *testing.T) {
-	p, e := newPlatform(t), byhand.NewEndpoint(t)
-	p.silent = true
+	p, e := discovery.New(t), byhand.NewEndpoint(t)
+	p.Silent = true
 	n := startNode(t, p, t.TempDir(), platform.List{})
 	c := dial(t, n.addr)
 	c.put("a", "safe", "-BUSY 1000")
-	p.set(func() { p.silent, p.list = false, platform.List{Generation: 1, Reset: true, Instances: instances(e)} })
+	p.Set(func() { p.Silent, p.List = false, platform.List{Generation: 1, Reset: true, Instances: instances(e)} })
 	taken(t, p, 1)
 	c.put("b", "safe", "+OK")
 	byhand.Await(t, e.Calls, "call").Reply(200)
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -8,119 +8,16 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
-	"net/http/httptest"
-	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"cometrack/internal/config"
 	"cometrack/internal/source/platform"
 	"cometrack/internal/standin/byhand"
+	"cometrack/internal/standin/discovery"
 )
 
-// notice is a line that the platform reads.
-type notice struct {
-	ID      string `json:"id"`
-	State   string `json:"state"`
-	AfterMS int64  `json:"after_ms"`
-}
-
-// fakePlatform stands for discovery and for what hears of ends.
-type fakePlatform struct {
-	srv     *httptest.Server
-	notices chan notice
-	asked   chan string // each call for the list
-	refused chan int    // each notice turned away: the number of lines
-	mu      sync.Mutex
-	list    platform.List
-	news    chan struct{}                // closed when the list changes
-	down    bool                         // answers 503 to all
-	silent  bool                         // never answers a call for the list
-	deaf    bool                         // turns notices away
-	with    func(settings string) string // changes the senders' settings; nil for none
-}
-
-func newPlatform(t *testing.T) *fakePlatform {
-	t.Helper()
-	p := &fakePlatform{notices: make(chan notice, 64), asked: make(chan string, 1024), refused: make(chan int, 1024),
-		news: make(chan struct{})}
-	mux := http.NewServeMux()
-	mux.HandleFunc("/discovery/hosts", p.hosts)
-	mux.HandleFunc("/v1/outcomes", p.outcomes)
-	p.srv = httptest.NewServer(mux)
-	t.Cleanup(func() { p.srv.CloseClientConnections(); p.srv.Close() })
-	return p
-}
-
-func (p *fakePlatform) set(f func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	f()
-	close(p.news)
-	p.news = make(chan struct{})
-}
-
-func (p *fakePlatform) hosts(w http.ResponseWriter, r *http.Request) {
-	p.asked <- r.URL.RawQuery
-	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
-	hold := time.Hour
-	if ms, err := strconv.Atoi(r.URL.Query().Get("hold_ms")); err == nil {
-		hold = time.Duration(ms) * time.Millisecond
-	}
-	held := time.After(hold)
-	for {
-		p.mu.Lock()
-		list, news, down, silent := p.list, p.news, p.down, p.silent
-		p.mu.Unlock()
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		if !silent && list.Generation > from {
-			json.NewEncoder(w).Encode(list)
-			return
-		}
-		select {
-		case <-news:
-		case <-r.Context().Done():
-			return
-		case <-held:
-			if !silent {
-				json.NewEncoder(w).Encode(platform.List{Generation: list.Generation})
-				return
-			}
-			held = nil
-		}
-	}
-}
-
-func (p *fakePlatform) outcomes(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	deaf := p.deaf
-	p.mu.Unlock()
-	var lines []notice
-	for dec := json.NewDecoder(r.Body); dec.More(); {
-		var x notice
-		if err := dec.Decode(&x); err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		lines = append(lines, x)
-	}
-	if deaf {
-		p.refused <- len(lines)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-	for _, x := range lines {
-		p.notices <- x
-	}
-}
-
 // instances lists endpoints of destination 1.
 func instances(eps ...*byhand.Endpoint) []platform.Instance {
 	var out []platform.Instance
@@ -146,13 +43,13 @@
 "specifics":{"batch_by_kind":[1],"call_slots":6,"late":"halves","separate_routes":[false]}}`
 
 // configText is a configuration file.
-func configText(p *fakePlatform, known platform.List) []byte {
+func configText(p *discovery.Platform, known platform.List) []byte {
 	settings := settings
-	if p.with != nil {
-		settings = p.with(settings)
+	if p.With != nil {
+		settings = p.With(settings)
 	}
 	b, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0",
-		"discovery": strings.TrimPrefix(p.srv.URL, "http://"), "seed": "1f",
+		"discovery": strings.TrimPrefix(p.Srv.URL, "http://"), "seed": "1f",
 		"limits": config.PlatformLimits{Cores: 1, MemoryMB: 192, Sockets: 256, DiskMB: 3}, "known": known,
 		"settings": json.RawMessage(settings)})
 	if err != nil {
@@ -170,7 +67,7 @@
 	done chan error
 }
 
-func startNode(t *testing.T, p *fakePlatform, dir string, known platform.List, with ...func(*Platform)) *testNode {
+func startNode(t *testing.T, p *discovery.Platform, dir string, known platform.List, with ...func(*Platform)) *testNode {
 	t.Helper()
 	cfg, err := config.ParsePlatform(configText(p, known))
 	if err != nil {
@@ -254,20 +151,20 @@
 }
 
 // world is a sender with endpoints and a platform.
-func world(t *testing.T, endpoints int, with ...func(*Platform)) (*testNode, *client, *fakePlatform, []*byhand.Endpoint) {
+func world(t *testing.T, endpoints int, with ...func(*Platform)) (*testNode, *client, *discovery.Platform, []*byhand.Endpoint) {
 	t.Helper()
-	return worldWith(t, newPlatform(t), endpoints, with...)
+	return worldWith(t, discovery.New(t), endpoints, with...)
 }
 
 // worldWith is a world whose platform is given.
-func worldWith(t *testing.T, p *fakePlatform, endpoints int, with ...func(*Platform)) (*testNode, *client, *fakePlatform, []*byhand.Endpoint) {
+func worldWith(t *testing.T, p *discovery.Platform, endpoints int, with ...func(*Platform)) (*testNode, *client, *discovery.Platform, []*byhand.Endpoint) {
 	t.Helper()
 	var eps []*byhand.Endpoint
 	for range endpoints {
 		eps = append(eps, byhand.NewEndpoint(t))
 	}
 	known := platform.List{Generation: 1, Reset: true, Instances: instances(eps...)}
-	p.list = known
+	p.List = known
 	n := startNode(t, p, t.TempDir(), known, with...)
 	return n, dial(t, n.addr), p, eps
 }
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -13,6 +13,7 @@
 	"cometrack/internal/journal"
 	"cometrack/internal/source/platform"
 	"cometrack/internal/standin/byhand"
+	"cometrack/internal/standin/discovery"
 )
 
 // copied opens a copy of the journal of a sender that runs.
@@ -101,8 +102,8 @@
 	c.put("b", "safe", "+OK")
 	byhand.Await(t, e[0].Calls, "call").Reply(200)
 	stopClean(t, n)
-	if len(p.notices) != 0 {
-		t.Errorf("a notice for a message that was never taken on: %v", <-p.notices)
+	if len(p.Notices) != 0 {
+		t.Errorf("a notice for a message that was never taken on: %v", <-p.Notices)
 	}
 }
 
@@ -143,7 +144,7 @@
 		for range 3 { // max_attempts
 			byhand.Await(t, e[0].Calls, "call").Reply(status, answer[1:]...)
 		}
-		if x := byhand.Await(t, p.notices, "notice"); x.ID != "moot"+answer[0] || x.State != "returned" || x.AfterMS != 2000 {
+		if x := byhand.Await(t, p.Notices, "notice"); x.ID != "moot"+answer[0] || x.State != "returned" || x.AfterMS != 2000 {
 			t.Errorf("notice %+v", x)
 		}
 	}
@@ -158,8 +159,8 @@
 	byhand.Await(t, e[0].Calls, "call").Reply(410)
 	stopClean(t, n)
 	e[0].None(t)
-	if len(p.notices) != 0 {
-		t.Errorf("notice %+v", <-p.notices)
+	if len(p.Notices) != 0 {
+		t.Errorf("notice %+v", <-p.Notices)
 	}
 }
 
@@ -177,7 +178,7 @@
 			}
 			c.put("u", "unsafe", "+OK")
 			end(byhand.Await(t, e[0].Calls, "call"))
-			if x := byhand.Await(t, p.notices, "notice"); x != (notice{ID: "u", State: "failed"}) {
+			if x := byhand.Await(t, p.Notices, "notice"); x != (discovery.Notice{ID: "u", State: "failed"}) {
 				t.Errorf("notice %+v", x)
 			}
 			c.put("k", "keyed", "+OK")
@@ -198,7 +199,7 @@
 	n, c, p, e := world(t, 1)
 	c.putFor("u", "unsafe", 300, "+OK")
 	in := byhand.Await(t, e[0].Calls, "call")
-	if x := byhand.Await(t, p.notices, "notice"); x != (notice{ID: "u", State: "failed"}) {
+	if x := byhand.Await(t, p.Notices, "notice"); x != (discovery.Notice{ID: "u", State: "failed"}) {
 		t.Errorf("notice %+v", x)
 	}
 	in.AwaitEnd(t)
@@ -229,9 +230,9 @@
 }
 
 // taken waits until the sender has the list of a generation: it asks from there on.
-func taken(t *testing.T, p *fakePlatform, generation int) {
+func taken(t *testing.T, p *discovery.Platform, generation int) {
 	t.Helper()
-	for !strings.HasPrefix(byhand.Await(t, p.asked, "call for the list"), fmt.Sprintf("from=%d&", generation)) {
+	for !strings.HasPrefix(byhand.Await(t, p.Asked, "call for the list"), fmt.Sprintf("from=%d&", generation)) {
 	}
 }
 
@@ -240,7 +241,7 @@
 	n, c, p, e := world(t, 2)
 	list := instances(e...)
 	list[0].Lifecycle = "draining"
-	p.set(func() { p.list = platform.List{Generation: 2, Instances: list[:1]} })
+	p.Set(func() { p.List = platform.List{Generation: 2, Instances: list[:1]} })
 	taken(t, p, 2)
 	for i := range 4 {
 		c.put(fmt.Sprint("m", i), "safe", "+OK")
@@ -249,7 +250,7 @@
 	e[0].None(t)
 	moved := byhand.NewEndpoint(t)
 	list[1].HostPort = moved.Addr()
-	p.set(func() { p.list = platform.List{Generation: 3, Instances: list[1:]} })
+	p.Set(func() { p.List = platform.List{Generation: 3, Instances: list[1:]} })
 	taken(t, p, 3)
 	c.put("m", "safe", "+OK")
 	byhand.Await(t, moved.Calls, "call").Reply(200)
@@ -259,8 +260,8 @@
 
 // While discovery is down the last list serves, and the sender asks again until it hears.
 func TestDiscoveryDown(t *testing.T) {
-	p := newPlatform(t)
-	p.down = true
+	p := discovery.New(t)
+	p.Down = true
 	e := byhand.NewEndpoint(t)
 	n := startNode(t, p, t.TempDir(), platform.List{Generation: 1, Reset: true, Instances: instances(e)})
 	c := dial(t, n.addr)
@@ -269,7 +270,7 @@
 	taken(t, p, 1)
 	taken(t, p, 1)
 	moved := byhand.NewEndpoint(t)
-	p.set(func() { p.down, p.list = false, platform.List{Generation: 2, Reset: true, Instances: instances(moved)} })
+	p.Set(func() { p.Down, p.List = false, platform.List{Generation: 2, Reset: true, Instances: instances(moved)} })
 	taken(t, p, 2)
 	c.put("b", "safe", "+OK")
 	byhand.Await(t, moved.Calls, "call").Reply(200)
@@ -277,11 +278,11 @@
 }
 
 func TestDiscoverySilent(t *testing.T) {
-	p := newPlatform(t)
-	p.silent = true
+	p := discovery.New(t)
+	p.Silent = true
 	e := byhand.NewEndpoint(t)
 	n := startNode(t, p, t.TempDir(), platform.List{Generation: 1, Reset: true, Instances: instances(e)})
-	byhand.Await(t, p.asked, "call for the list")
+	byhand.Await(t, p.Asked, "call for the list")
 	dial(t, n.addr).put("a", "safe", "+OK")
 	byhand.Await(t, e.Calls, "call").Reply(200)
 	stopClean(t, n)
@@ -290,13 +291,13 @@
 // A notice counts once the platform has confirmed it, and is sent until then.
 func TestNoticesDown(t *testing.T) {
 	n, c, p, e := world(t, 1)
-	p.set(func() { p.deaf = true })
+	p.Set(func() { p.Deaf = true })
 	c.put("u", "unsafe", "+OK")
 	byhand.Await(t, e[0].Calls, "call").Reply(500)
-	byhand.Await(t, p.refused, "notice")
-	byhand.Await(t, p.refused, "second notice")
-	p.set(func() { p.deaf = false })
-	if x := byhand.Await(t, p.notices, "notice"); x.ID != "u" || x.State != "failed" {
+	byhand.Await(t, p.Refused, "notice")
+	byhand.Await(t, p.Refused, "second notice")
+	p.Set(func() { p.Deaf = false })
+	if x := byhand.Await(t, p.Notices, "notice"); x.ID != "u" || x.State != "failed" {
 		t.Errorf("notice %+v", x)
 	}
 	stopClean(t, n)
@@ -306,7 +307,7 @@
 func TestMalformedRequests(t *testing.T) {
 	n, c, p, e := world(t, 1)
 	taken(t, p, 1) // an unknown destination is one that discovery does not know
-	p.set(func() { p.list.Generation = 2 })
+	p.Set(func() { p.List.Generation = 2 })
 	taken(t, p, 2)
 	const good = "c=safe,t=acme,d=9000,dest=1"
 	for i, args := range [][]string{
@@ -371,7 +372,7 @@
 			in.AwaitEnd(t)
 			in.Done <- false
 			if class == "unsafe" {
-				if x := byhand.Await(t, p.notices, "notice"); x != (notice{ID: "a", State: "failed"}) {
+				if x := byhand.Await(t, p.Notices, "notice"); x != (discovery.Notice{ID: "a", State: "failed"}) {
 					t.Errorf("notice %+v", x)
 				}
 			} else {
@@ -387,8 +388,8 @@
 			in.AwaitEnd(t)
 			in.Done <- false
 			stopClean(t, n)
-			if len(p.notices) != 0 {
-				t.Errorf("notice %+v", <-p.notices)
+			if len(p.Notices) != 0 {
+				t.Errorf("notice %+v", <-p.Notices)
 			}
 		})
 	}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -12,6 +12,7 @@
 
 	"cometrack/internal/source/platform"
 	"cometrack/internal/standin/byhand"
+	"cometrack/internal/standin/discovery"
 	"cometrack/internal/standin/program"
 )
 
@@ -44,7 +45,7 @@
 }
 
 // startProcess starts it with what the platform would tell it and waits until it is ready.
-func startProcess(t *testing.T, p *fakePlatform, dir string, known platform.List) *process {
+func startProcess(t *testing.T, p *discovery.Platform, dir string, known platform.List) *process {
 	t.Helper()
 	path, err := built()
 	if err != nil {
@@ -55,7 +56,7 @@
 		t.Fatal(err)
 	}
 	x, err := program.Start(path, []string{"BALANCER_NAME=n0", "BALANCER_LISTEN=127.0.0.1:0",
-		"BALANCER_DISCOVERY=" + strings.TrimPrefix(p.srv.URL, "http://"), "BALANCER_STATE=" + dir, "BALANCER_CONFIG=" + config})
+		"BALANCER_DISCOVERY=" + strings.TrimPrefix(p.Srv.URL, "http://"), "BALANCER_STATE=" + dir, "BALANCER_CONFIG=" + config})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,9 +82,9 @@
 // A crash with a call out: it may have run. Nothing is handed in again, so the sender itself must send it again
 // where that is harmless, and must not where it is not.
 func TestKillWithCallOut(t *testing.T) {
-	p, e, dir := newPlatform(t), byhand.NewEndpoint(t), t.TempDir()
+	p, e, dir := discovery.New(t), byhand.NewEndpoint(t), t.TempDir()
 	known := platform.List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p.List = known
 	x := startProcess(t, p, dir, known)
 	c := dial(t, x.addr)
 	for _, class := range []string{"safe", "keyed", "unsafe"} {
@@ -101,7 +102,7 @@
 	if again["m-safe"] != "key-m-safe body of m-safe" || again["m-keyed"] != "key-m-keyed body of m-keyed" {
 		t.Errorf("sent again: %v", again)
 	}
-	if n := byhand.Await(t, p.notices, "notice"); n != (notice{ID: "m-unsafe", State: "failed"}) {
+	if n := byhand.Await(t, p.Notices, "notice"); n != (discovery.Notice{ID: "m-unsafe", State: "failed"}) {
 		t.Errorf("notice %+v", n)
 	}
 	x.term()
@@ -114,9 +115,9 @@
 
 // Attempts before a crash count: a message that brings the process down each time must not come for ever.
 func TestKillCountsAttempts(t *testing.T) {
-	p, e, dir := newPlatform(t), byhand.NewEndpoint(t), t.TempDir()
+	p, e, dir := discovery.New(t), byhand.NewEndpoint(t), t.TempDir()
 	known := platform.List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p.List = known
 	for i := range 3 { // max_attempts
 		x := startProcess(t, p, dir, known)
 		if i == 0 {
@@ -126,7 +127,7 @@
 		x.kill()
 	}
 	x := startProcess(t, p, dir, known)
-	if n := byhand.Await(t, p.notices, "notice"); n != (notice{ID: "a", State: "failed"}) {
+	if n := byhand.Await(t, p.Notices, "notice"); n != (discovery.Notice{ID: "a", State: "failed"}) {
 		t.Errorf("notice %+v", n)
 	}
 	x.term()
@@ -137,15 +138,15 @@
 // What was not sent, or refused, before a crash is sent after it, an unsafe message too; what ran out of time
 // meanwhile is returned, and a notice that nobody confirmed is sent again.
 func TestKillWithoutCallOut(t *testing.T) {
-	p, e, dir := newPlatform(t), byhand.NewEndpoint(t), t.TempDir()
+	p, e, dir := discovery.New(t), byhand.NewEndpoint(t), t.TempDir()
 	known := platform.List{Generation: 1, Reset: true, Instances: append(instances(e), platform.Instance{ID: "drains", HostPort: "127.0.0.1:1",
 		Zone: "a", Kind: "std", Dest: 2, Lifecycle: "draining"})}
-	p.list, p.deaf = known, true
+	p.List, p.Deaf = known, true
 	x := startProcess(t, p, dir, known)
 	c := dial(t, x.addr)
 	c.put("failed", "unsafe", "+OK")
 	byhand.Await(t, e.Calls, "call").Reply(500)
-	byhand.Await(t, p.refused, "notice")
+	byhand.Await(t, p.Refused, "notice")
 	c.put("refused", "unsafe", "+OK")
 	byhand.Await(t, e.Calls, "call").Reply(429, "X-Come-Back-Ms: 60000")
 	if got := c.do("MSG.PUT", "0", "short", "c=unsafe,d=600,dest=2", "x"); got != "+OK" {
@@ -161,7 +162,7 @@
 	c.put("unsent", "unsafe", "+OK") // waits: the sender has been told to
 	x.kill()
 	time.Sleep(time.Until(over))
-	p.set(func() { p.deaf = false })
+	p.Set(func() { p.Deaf = false })
 	x = startProcess(t, p, dir, known)
 	got := map[string]bool{}
 	for range 2 {
@@ -174,7 +175,7 @@
 	}
 	ends := map[string]string{}
 	for range 2 {
-		n := byhand.Await(t, p.notices, "notice")
+		n := byhand.Await(t, p.Notices, "notice")
 		ends[n.ID] = n.State
 	}
 	if ends["failed"] != "failed" || ends["short"] != "returned" {
@@ -191,9 +192,9 @@
 	for _, class := range []string{"safe", "keyed", "unsafe"} {
 		t.Run(class, func(t *testing.T) {
 			t.Parallel()
-			p, e, dir := newPlatform(t), byhand.NewEndpoint(t), t.TempDir()
+			p, e, dir := discovery.New(t), byhand.NewEndpoint(t), t.TempDir()
 			known := platform.List{Generation: 1, Reset: true, Instances: instances(e)}
-			p.list = known
+			p.List = known
 			x := startProcess(t, p, dir, known)
 			c := dial(t, x.addr)
 			c.put("a", class, "+OK")
@@ -207,8 +208,8 @@
 			if ids := owed(t, dir); ids != nil {
 				t.Errorf("still owed: %v", ids)
 			}
-			if len(p.notices) != 0 {
-				t.Errorf("notice %+v", <-p.notices)
+			if len(p.Notices) != 0 {
+				t.Errorf("notice %+v", <-p.Notices)
 			}
 		})
 	}
@@ -216,9 +217,9 @@
 
 // A call that does not end must not keep the program from ending in time; it stays in the journal as open.
 func TestTermWithSilentCall(t *testing.T) {
-	p, e, dir := newPlatform(t), byhand.NewEndpoint(t), t.TempDir()
+	p, e, dir := discovery.New(t), byhand.NewEndpoint(t), t.TempDir()
 	known := platform.List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p.List = known
 	x := startProcess(t, p, dir, known)
 	dial(t, x.addr).put("a", "unsafe", "+OK")
 	byhand.Await(t, e.Calls, "call")
@@ -232,7 +233,7 @@
 		t.Errorf("owed: %v", ids)
 	}
 	x = startProcess(t, p, dir, known)
-	if n := byhand.Await(t, p.notices, "notice"); n != (notice{ID: "a", State: "failed"}) {
+	if n := byhand.Await(t, p.Notices, "notice"); n != (discovery.Notice{ID: "a", State: "failed"}) {
 		t.Errorf("notice %+v", n)
 	}
 	x.kill()
--- a/internal/daemon/pushed_test.go
+++ b/internal/daemon/pushed_test.go
@@ -8,6 +8,7 @@
 
 	"cometrack/internal/source/platform"
 	"cometrack/internal/standin/byhand"
+	"cometrack/internal/standin/discovery"
 )
 
 // pushed turns settings into those of a deployment whose list comes by itself, with one slot and calls that
@@ -20,12 +21,12 @@
 // Where the list is pushed nothing asks the module to ask for it: the sender follows its agent by itself, and goes on
 // after the agent was silent or away.
 func TestPushedList(t *testing.T) {
-	p := newPlatform(t)
-	p.with = pushed
+	p := discovery.New(t)
+	p.With = pushed
 	n, _, _, e := worldWith(t, p, 2)
 	asked := func(from string) {
 		t.Helper()
-		for !strings.HasPrefix(byhand.Await(t, p.asked, "watch"), "from="+from+"&") {
+		for !strings.HasPrefix(byhand.Await(t, p.Asked, "watch"), "from="+from+"&") {
 		}
 	}
 	change := func(generation int64, states ...string) {
@@ -33,7 +34,7 @@
 		for i, s := range states {
 			list.Instances[i].Lifecycle = s
 		}
-		p.set(func() { p.list, p.silent, p.down = list, false, false })
+		p.Set(func() { p.List, p.Silent, p.Down = list, false, false })
 		asked(fmt.Sprint(generation)) // the next watch begins once the last has been told
 	}
 	asked("1")
@@ -43,11 +44,11 @@
 		to     int
 	}{
 		{func() {}, []string{"draining", "up"}, 1},
-		{func() { p.silent = true }, []string{"up", "removed"}, 0},
-		{func() { p.down = true }, []string{"removed", "up"}, 1},
+		{func() { p.Silent = true }, []string{"up", "removed"}, 0},
+		{func() { p.Down = true }, []string{"removed", "up"}, 1},
 	} {
-		p.set(x.cut)
-		if p.silent || p.down { // whatever it has asked, it asks again
+		p.Set(x.cut)
+		if p.Silent || p.Down { // whatever it has asked, it asks again
 			asked(fmt.Sprint(i + 1))
 			asked(fmt.Sprint(i + 1))
 		}
@@ -66,8 +67,8 @@
 
 // What one step sends to one endpoint travels as one call on one slot, and each message has its own end by the answer.
 func TestBatchEndToEnd(t *testing.T) {
-	p := newPlatform(t)
-	p.with = pushed
+	p := discovery.New(t)
+	p.With = pushed
 	n, c, _, e := worldWith(t, p, 1)
 	c.put("a", "safe", "+OK")
 	first := byhand.Await(t, e[0].Calls, "call")
@@ -98,7 +99,7 @@
 	fmt.Fprintf(in.Conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
 	in.Done <- true
 	for range failed {
-		if x := byhand.Await(t, p.notices, "notice"); x.State != "failed" || x.ID != "b" && x.ID != "d" {
+		if x := byhand.Await(t, p.Notices, "notice"); x.State != "failed" || x.ID != "b" && x.ID != "d" {
 			t.Errorf("notice %+v", x)
 		}
 	}
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -9,6 +9,7 @@
 
 	"cometrack/internal/source/platform"
 	"cometrack/internal/standin/byhand"
+	"cometrack/internal/standin/discovery"
 )
 
 // hup replaces the configuration and signals.
@@ -34,11 +35,11 @@
 // SIGHUP under load, with a file that can't be used and then a good one: messages go on, and discovery and notices
 // move, a batch that the old address has not confirmed too. The environment still names the old address.
 func TestReload(t *testing.T) {
-	old, fresh, e, added := newPlatform(t), newPlatform(t), byhand.NewEndpoint(t), byhand.NewEndpoint(t)
+	old, fresh, e, added := discovery.New(t), discovery.New(t), byhand.NewEndpoint(t), byhand.NewEndpoint(t)
 	known := platform.List{Generation: 5, Reset: true, Instances: instances(e)}
-	old.list = known
+	old.List = known
 	x := startProcess(t, old, t.TempDir(), known)
-	byhand.Await(t, old.asked, "watch")
+	byhand.Await(t, old.Asked, "watch")
 	c := dial(t, x.addr)
 	c.put("under-way", "safe", "+OK")
 	underWay := byhand.Await(t, e.Calls, "call")
@@ -55,21 +56,21 @@
 		in.Reply(200)
 	}
 
-	old.set(func() { old.deaf = true })
+	old.Set(func() { old.Deaf = true })
 	c.put("fails", "unsafe", "+OK")
 	byhand.Await(t, e.Calls, "call").Reply(500)
-	byhand.Await(t, old.refused, "notice")
+	byhand.Await(t, old.Refused, "notice")
 	// The new address numbers its lists anew: a watch from the old number would wait for ever.
-	fresh.list = platform.List{Generation: 2, Reset: true, Instances: instances(e, added)}
+	fresh.List = platform.List{Generation: 2, Reset: true, Instances: instances(e, added)}
 	x.hup(configText(fresh, known))
-	if n := byhand.Await(t, fresh.notices, "notice at the new address"); n != (notice{ID: "fails", State: "failed"}) {
+	if n := byhand.Await(t, fresh.Notices, "notice at the new address"); n != (discovery.Notice{ID: "fails", State: "failed"}) {
 		t.Errorf("notice %+v", n)
 	}
-	if q := byhand.Await(t, fresh.asked, "call at the new address"); q != "" {
+	if q := byhand.Await(t, fresh.Asked, "call at the new address"); q != "" {
 		t.Errorf("asked %q, want the whole list", q)
 	}
-	byhand.Await(t, fresh.asked, "watch at the new address") // the list before it has been read
-	old.srv.CloseClientConnections()
+	byhand.Await(t, fresh.Asked, "watch at the new address") // the list before it has been read
+	old.Srv.CloseClientConnections()
 	underWay.Reply(200)
 	for i := 0; ; i++ { // the endpoint that only the new address lists gets its share
 		c.put(fmt.Sprint("m-", i), "safe", "+OK")
