Keep what is known of partners over a restart: health, pace, limit, latencies

Need: a restarted sender began with nothing, and could push over a partner that it had known to be cold.

The module tells news of destinations (Sender.Remember), changes of health first, at most once a second each, others every ten seconds; a later process hands them back (Recall). One that was out is tried singly, one that was cold keeps the rest of its time and rests a fall window first, since the process before may have used it up.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -26,7 +26,7 @@
 func (f *File) Settings() logic.Settings {
 	s := logic.Settings{Senders: 1, Zones: len(f.Zones), Slots: f.Limits.Slots, MaxOpen: f.Limits.OpenMessages,
 		MaxTries: f.Limits.Attempts, Tick: logic.Micros(time.Millisecond / time.Microsecond), OnRequest: true, MayCancel: true,
-		RetryAfter: true, Halves: true, Weights: logic.WeightsNominal, Save: logic.Micros(pacing / time.Microsecond),
+		RetryAfter: true, Halves: true, Remember: true, Weights: logic.WeightsNominal, Save: logic.Micros(pacing / time.Microsecond),
 		ConnIdle: micros(f.Transport.HTTP.Idle), ConnCalls: 1, MaxRetryAfter: micros(f.Limits.RetryAfter), OverShareWorth: 0.2,
 		DrainGrace: micros(f.Rules.DrainGrace), FallMultiple: f.Rules.FallMultiple, FallWindow: micros(f.Rules.FallWindow),
 		ColdFrom: f.Rules.ColdFrom, WarmAfter: micros(f.Rules.WarmAfter), KeyQuiet: micros(f.Rules.KeyQuiet),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,6 +92,7 @@
 	tell     []toldEnd // deliveries that the sink is to be told of
 	ended    []string  // messages that are over since the last step
 	watchers map[string][]chan State
+	past     map[string]*journal.Partner // what an earlier process knew of partners, until they are on the list
 }
 
 // New makes a core. Run starts it.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -81,6 +81,7 @@
 	Store
 	mu   sync.Mutex
 	fail bool
+	sick map[string]bool // partners, as last told
 }
 
 func (f *failing) Append(recs []journal.Record) error {
@@ -89,9 +90,21 @@
 	if f.fail && len(recs) > 0 {
 		return errors.New("no space left")
 	}
+	for _, r := range recs {
+		if r.Op == journal.OpPartner {
+			f.sick[r.ID] = r.Partner.Sick
+		}
+	}
 	return f.Store.Append(recs)
 }
 
+// knows says whether a partner is known to be in trouble.
+func (f *failing) knows(partner string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sick[partner]
+}
+
 // Close closes the store beneath a core that may still be at work, as a crash does.
 func (f *failing) Close() error {
 	f.mu.Lock()
@@ -140,11 +153,11 @@
 
 func newRig(t *testing.T, dir string, cfg Config) *rig {
 	t.Helper()
-	j, err := journal.Open(dir, journal.Options{Disk: 3e6, KeepEnded: time.Hour, MostEnded: 100})
+	j, err := journal.Open(dir, journal.Options{Disk: 3e6, KeepEnded: time.Hour, MostEnded: 100, Partners: cfg.Settings.Remember})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, hand: &hand{attempts: make(chan sent, 64), probes: make(chan logic.EndpointID, 1)}, store: &failing{Store: j},
+	r := &rig{t: t, hand: &hand{attempts: make(chan sent, 64), probes: make(chan logic.EndpointID, 1)}, store: &failing{Store: j, sick: map[string]bool{}},
 		ends: &ends{make(chan message.End, 64), make(chan string, 64)}, done: make(chan error, 1)}
 	r.Core, err = New(cfg, Parts{Store: r.store, Transport: r.hand, Source: still{}, Sink: r.ends, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -99,6 +99,12 @@
 // sweep drops what is of no more use.
 func (c *Core) sweep(now time.Time) {
 	c.transport.Sweep()
+	c.remember(rememberSweep)
+	if err := c.store.Append(c.records); err != nil {
+		c.log.Error("journal", "err", err) // they are of the past, and written later
+	}
+	clear(c.records)
+	c.records = c.records[:0]
 	c.store.Forget(now)
 	calls, partners := map[logic.EndpointID]bool{}, map[string]bool{}
 	for _, h := range c.held {
@@ -123,6 +129,10 @@
 			}
 		}
 	}
+	if c.cfg.Settings.Remember {
+		c.past = c.store.Partners()
+		c.recall()
+	}
 	orphans := map[string]int{}
 	for _, e := range c.store.Entries() {
 		if e.End != nil {
@@ -226,4 +236,5 @@
 		}
 	}
 	c.next = append(c.next, logic.Endpoints{Form: form, Entries: rows})
+	c.recall()
 }
--- a/internal/core/restart_test.go
+++ b/internal/core/restart_test.go
@@ -112,3 +112,53 @@
 		t.Errorf("the other one has room for %d", b.open)
 	}
 }
+
+// A partner that was out when the process died is tried with one call by the next
+// one, whether its list is there at the start or comes later; without the memory
+// all messages would go out at once.
+func TestOutageOutlivesRestart(t *testing.T) {
+	for _, x := range []struct {
+		name        string
+		known, late bool
+		want        int // attempts out at once
+	}{{"known", true, false, 1}, {"known, its list comes late", true, true, 1}, {"not known", false, false, 3}} {
+		t.Run(x.name, func(t *testing.T) {
+			dir, cfg := t.TempDir(), testConfig()
+			cfg.Settings.Remember = x.known
+			r := newRig(t, dir, cfg).run()
+			r.put(newMessage("a", "safe"))
+			byhand.Await(t, r.hand.attempts, "attempt").result <- Result{Outcome: logic.RefusedConn}
+			for r.state("a") != StateAccepted { // until the outcome is known
+			}
+			deadline := time.Now().Add(byhand.Patience)
+			for x.known && !r.store.knows("acme") { // changes of health are written within a second or two
+				if time.Now().After(deadline) {
+					t.Fatal("nothing is written of the outage")
+				}
+				r.put(newMessage("a", "safe"))
+			}
+			r.kill()
+			list := *cfg.Known
+			if x.late {
+				cfg.Known = nil
+			}
+			r = newRig(t, dir, cfg).run()
+			if x.late {
+				r.post(News{List: list})
+			}
+			for _, id := range []string{"b", "c"} {
+				r.put(newMessage(id, "safe"))
+			}
+			byhand.Await(t, r.hand.attempts, "attempt after the restart")
+			sending := 0
+			for _, id := range []string{"a", "b", "c"} {
+				if r.state(id) == StateSending {
+					sending++
+				}
+			}
+			if sending != x.want {
+				t.Errorf("%d messages are out, want %d", sending, x.want)
+			}
+		})
+	}
+}
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -151,6 +151,7 @@
 	Entries() []*journal.Entry
 	Ended(id string) *journal.Ended
 	Waits() map[string]int64
+	Partners() map[string]*journal.Partner
 	Forget(now time.Time)
 	Len() int
 	Close() error
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -35,6 +35,9 @@
 			}
 		}
 	}
+	if len(c.records) > 0 { // a write is due anyway
+		c.remember(rememberStep)
+	}
 	err := c.store.Append(c.records)
 	clear(c.records)
 	c.records = c.records[:0]
--- a/internal/journal/describe.go
+++ b/internal/journal/describe.go
@@ -4,8 +4,8 @@
 
 // Described is a record as a person may read it.
 type Described struct {
-	What  string `json:"what"` // message, state or wait
-	ID    string `json:"id"`   // of the message; of a wait, the endpoint's name
+	What  string `json:"what"` // message, state, wait or partner
+	ID    string `json:"id"`   // of the message; of a wait, the endpoint's name; of a partner, its own
 	Value any    `json:"value"`
 }
 
@@ -22,6 +22,8 @@
 		d.What, d.Value = "state", &stateRecord{}
 	case keyWait:
 		d.What, d.Value = "wait", &waitRecord{}
+	case keyPartner:
+		d.What, d.Value = "partner", &Partner{}
 	default:
 		return d, fmt.Errorf("record %q is of no kind that this program knows", key)
 	}
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -51,6 +51,7 @@
 	OpNoticed               // the notice is confirmed
 	OpWait                  // an endpoint has told to wait until At; ID is its name
 	OpEnded                 // what is remembered of one that is over; only in files of before 0.3
+	OpPartner               // what is known of the partner ID
 )
 
 // Record is one thing that has happened.
@@ -63,4 +64,6 @@
 	MayRun bool         `json:"may_run,omitempty"`
 	End    *message.End `json:"notice,omitempty"`
 	Ended  *Ended       `json:"ended,omitempty"`
+	// Partner is what is known of the partner ID.
+	Partner *Partner `json:"-"`
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -21,6 +21,7 @@
 	// room outlive the process.
 	KeepEnded time.Duration
 	MostEnded int
+	Partners  bool // what is known of partners is kept too, in a twentieth of the room
 	Sync      store.Sync
 	Every     time.Duration // store.SyncInterval: how often
 	Log       *slog.Logger  // nil for none
@@ -58,6 +59,7 @@
 	dirty      map[string]mark
 	changed    []string
 	dirtyWaits map[string]bool
+	partners   partners
 }
 
 // mark says what of a message the store is to get.
@@ -92,6 +94,10 @@
 	}
 	j := &Journal{store: st, opts: opts, log: opts.Log, entries: map[string]*Entry{}, waits: map[string]int64{}, dirty: map[string]mark{}, dirtyWaits: map[string]bool{}}
 	j.ended = newEnded(opts.MostEnded, int64(endedPart*float64(st.Stats().Capacity)), func(id string) { j.mark(id, markState) })
+	j.partners = partners{by: map[string]*known{}, dirty: map[string]bool{}}
+	if opts.Partners {
+		j.partners.room = int64(partnersPart * float64(st.Stats().Capacity))
+	}
 	if err = j.load(); err == nil {
 		err = j.takeOver(fs)
 	}
@@ -128,6 +134,15 @@
 				return err
 			}
 			j.waits[id] = r.Until
+		case keyPartner:
+			r := &Partner{}
+			if err := decode(key, value, r); err != nil { // not worth a refusal to start
+				j.log.Warn("journal: what was known of a partner is dropped", "err", err)
+				j.partners.dirty[id] = true
+				return nil
+			}
+			j.partners.by[id] = &known{at: r.At, sick: r.Sick, value: r, size: store.FrameSize(len(key), len(value))}
+			j.partners.bytes += j.partners.by[id].size
 		}
 		return nil
 	})
@@ -173,6 +188,10 @@
 		j.ended.add(x)
 	}
 	j.ended.forget(time.Now())
+	if j.partners.bytes > j.partners.room { // less than before
+		j.partners.evict()
+	}
+	j.partners.forget(time.Now())
 	return nil
 }
 
@@ -230,6 +249,9 @@
 			j.dropWaits(time.Now())
 		}
 		return nil
+	case OpPartner:
+		j.applyPartner(rec.ID, rec.Partner)
+		return nil
 	case OpEnded:
 		if x := rec.Ended; x != nil {
 			j.n++
@@ -335,9 +357,21 @@
 			b.Forget(keyWait + name)
 		}
 	}
+	for name := range j.partners.dirty {
+		if err := commit(mostPartner); err != nil {
+			return err
+		}
+		j.putPartner(b, name)
+	}
 	if err := j.store.Commit(b); err != nil {
 		return err
 	}
+	for name := range j.partners.dirty {
+		if k := j.partners.by[name]; k != nil {
+			k.value = nil
+		}
+	}
+	clear(j.partners.dirty)
 	clear(j.dirty)
 	clear(j.dirtyWaits)
 	j.changed = j.changed[:0]
@@ -407,7 +441,8 @@
 // Forget drops ends whose time is up.
 func (j *Journal) Forget(now time.Time) {
 	j.ended.forget(now)
-	if len(j.dirty)+len(j.dirtyWaits) > 0 {
+	j.partners.forget(now)
+	if len(j.dirty)+len(j.dirtyWaits)+len(j.partners.dirty) > 0 {
 		if err := j.flush(); err != nil {
 			j.log.Warn("journal: what is forgotten is not written yet", "err", err)
 		}
@@ -418,7 +453,7 @@
 // that it holds and what is owed for it. A yes counts until the next Append.
 func (j *Journal) Room(body int) bool {
 	need := store.FrameSize(message.MaxName+1, body+messageOverhead) + reserve
-	if !j.store.Room(j.promised + need + int64(len(j.entries))*reserve) {
+	if !j.store.Room(j.promised + need + int64(len(j.entries))*reserve + j.partners.free()) {
 		return false
 	}
 	j.promised += need
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -12,11 +12,12 @@
 // A message has two keys in the store: "m" and its id for what never changes, gone
 // once it has ended, and "s" and its id for what became of it. Both carry n: a
 // state that another message of the same id has left is told by it. "w" and an
-// endpoint's name holds a wait.
+// endpoint's name holds a wait, "p" and a partner's name what is known of it.
 const (
 	keyMessage = "m"
 	keyState   = "s"
 	keyWait    = "w"
+	keyPartner = "p"
 )
 
 // The records are CBOR maps with numbers as keys (RFC 8949): a reader skips keys
--- a/logic/gate.go
+++ b/logic/gate.go
@@ -102,6 +102,9 @@
 	}) {
 		return 0
 	}
+	if s.now < e.dest.restTo {
+		return e.dest.restTo
+	}
 	// Each cold endpoint counts by the time since its return; one that is out still, as if it returned now; and
 	// e, if it was not tried meanwhile, as the coldest.
 	ups, least, cold, last, long := 0.0, 1.0, 0, []Micros(nil), s.set.FallWindow
--- a/logic/limits_test.go
+++ b/logic/limits_test.go
@@ -10,21 +10,21 @@
 // TestModuleLimits keeps the module as short and narrow as its readers were promised.
 func TestModuleLimits(t *testing.T) {
 	policy := 0 // filled lines of the files that deploy/balancer.toml names as policy
-	for _, name := range []string{"logic.go", "gate.go", "outcomes.go", "types.go", "state.go", "settings.go"} {
+	for i, name := range []string{"logic.go", "gate.go", "outcomes.go", "memory.go", "types.go", "state.go", "settings.go"} {
 		text, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
 		}
 		filled := 0
-		for i, line := range strings.Split(string(text), "\n") {
+		for at, line := range strings.Split(string(text), "\n") {
 			if strings.TrimSpace(line) != "" {
 				filled++
 			}
 			if n := utf8.RuneCountInString(line); n > 110 {
-				t.Errorf("%s:%d has %d characters, want at most 110", name, i+1, n)
+				t.Errorf("%s:%d has %d characters, want at most 110", name, at+1, n)
 			}
 		}
-		if name == "logic.go" || name == "gate.go" || name == "outcomes.go" {
+		if i < 4 {
 			policy += filled
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,9 @@
 	spoiltDown  = 4            // ours: spoilt answers in a row that look like an outage
 	errorRest   = 100_000      // ours: pause of a message after an error, doubled with each try
 
+	tellHealth = Second      // ours: least time between two memories of one destination, after changes of health
+	tellRest   = 10 * Second // ours: and after others
+
 	quotaHalf = 5 * Second // ours: half-life of a tenant's rate
 	lossAhead = Second     // ours: loss of worth within this sets who goes first
 	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
@@ -79,7 +82,8 @@
 	if set.Save == 0 {
 		set.Save = paceSave
 	}
-	s := &Sender{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: math.MinInt64, askAt: never, askGap: askGap,
+	s := &Sender{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: math.MinInt64, askAt: never,
+		askGap: askGap, newsAt: never,
 		eps: map[EndpointID]*endpoint{}, dests: map[int64]*dest{}, msgs: map[string]*msg{},
 		keys: map[string]*keyLine{}, turned: map[int]float64{}}
 	if set.OnRequest {
@@ -147,12 +151,7 @@
 			e.lane = &lane{}
 		}
 		s.eps[e.id] = e
-		// A machine that joins a destination in trouble is as cold as the others: what topples it is shared.
-		for _, x := range d.eps {
-			if x.cold && e.lane == x.lane {
-				e.cold, e.suspect, e.backAt, e.trialAt, e.lastBad = true, x.suspect, x.backAt, x.trialAt, x.lastBad
-			}
-		}
+		s.inherit(e)
 	}
 	if e.state == Gone {
 		d.eps = append(d.eps, e)
@@ -166,6 +165,16 @@
 	}
 }
 
+// inherit takes a machine that joins a destination in trouble for as cold as the others: what topples it is
+// shared.
+func (s *Sender) inherit(e *endpoint) {
+	for _, x := range e.dest.eps {
+		if x.cold && e.lane == x.lane {
+			e.cold, e.suspect, e.backAt, e.trialAt, e.lastBad = true, x.suspect, x.backAt, x.trialAt, x.lastBad
+		}
+	}
+}
+
 // subscribe asks for the list where it comes only on request.
 func (s *Sender) subscribe() {
 	if s.askAt == never {
--- /dev/null
+++ b/logic/memory_test.go
@@ -0,0 +1,152 @@
+package logic
+
+import (
+	"reflect"
+	"testing"
+)
+
+// What a Sender knows is what the next one knows, whatever came before: a memory that is taken up and told again
+// is the same.
+func TestMemoryComesBackWhole(t *testing.T) {
+	for _, name := range []string{"plain", "apart", "reports", "weights"} {
+		set := variants()[name]
+		set.Remember = true
+		w := newWorld(t, set, 11)
+		w.play()
+		again, err := New(set, 5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list := Endpoints{Form: ListCached}
+		for _, id := range w.order {
+			row := w.eps[id].row
+			row.State = Ready
+			list.Entries = append(list.Entries, row)
+		}
+		again.Step(w.now, []Event{list})
+		seen, sick := 0, 0
+		for _, d := range w.s.order {
+			if len(d.eps) == 0 {
+				continue
+			}
+			m := w.s.memory(d)
+			if m.Sick {
+				sick++
+			}
+			again.Step(w.now, []Event{Recall{Memory: m}, Recall{Memory: Memory{Dest: d.id, Came: 99}}}) // the first counts
+			got := again.memory(again.dests[d.id])
+			got.Endpoints, m.Endpoints = byEndpoint(got), byEndpoint(m)
+			if !reflect.DeepEqual(got, m) {
+				t.Errorf("%s: destination %d:\n%+v, had\n%+v", name, d.id, got, m)
+			}
+			seen += len(m.Took.Bins)
+		}
+		if seen == 0 || sick == 0 {
+			t.Errorf("%s: the memories tell of %d bins and %d sick destinations", name, seen, sick)
+		}
+	}
+}
+
+// byEndpoint are the endpoints that a memory and the list of the test have alike.
+func byEndpoint(m Memory) []EndpointMemory {
+	var out []EndpointMemory
+	for id := EndpointID(100); id < 108; id++ {
+		for _, x := range m.Endpoints {
+			if x.Endpoint == id && x.Good < Unseen {
+				x.Gap = 0 // bounded
+				out = append(out, x)
+			}
+		}
+	}
+	return out
+}
+
+// sickOf is a memory of destination 9, whose endpoint 1 returned a second ago from an outage, or is out.
+func sickOf(out bool) Memory {
+	return Memory{Dest: 9, Sick: true, Came: 3, Down: 20 * Second, Lane: LaneMemory{Peak: 4}, Endpoints: []EndpointMemory{
+		{Endpoint: 1, Out: out, Cold: true, Back: Second, Good: Second, Bad: 2 * Second, Well: 3 * Second, Gap: Second}}}
+}
+
+// A restart begins the window of a cold destination anew: the process before may have used it up. Then its budget
+// goes on from the return that was seen, and one that was out gets single trials.
+func TestRecallOfTheSick(t *testing.T) {
+	for _, x := range []struct {
+		name        string
+		memory      Memory
+		age         float64 // of the memory, seconds
+		early, late int     // sends within the fall window, and right after it
+	}{
+		{"cold", sickOf(false), 0, 0, 3}, // 2 x (0.2 + 0.8 x 3.1 s / 14 s) x 4 a second / 2 senders x 2 s: 3.0
+		{"out", sickOf(true), 0, 0, 1},
+		{"warm since", sickOf(false), 20, 4, 4},
+		{"out long ago", sickOf(true), 1e6, 0, 1},
+		{"of another", Memory{Dest: 8, Sick: true}, 0, 4, 4},
+	} {
+		set := base()
+		r := newRig(t, set)
+		evs := []Event{list(1), Recall{Age: sec(x.age), Memory: x.memory}}
+		for range 12 {
+			evs = append(evs, r.call(0))
+		}
+		early := len(only[CallOut](r.step(100, evs...)))
+		early += len(only[CallOut](r.step(101.9, Due{})))
+		late := early + len(only[CallOut](r.step(102.1, Due{})))
+		late += len(only[CallOut](r.step(103.2, Due{})))
+		if early != x.early || late != x.late {
+			t.Errorf("%s: %d sends within the fall window, %d with those after; want %d, %d", x.name, early, late, x.early, x.late)
+		}
+	}
+}
+
+// What this process has learnt itself stands, and what makes no sense does no harm.
+func TestRecallComesLate(t *testing.T) {
+	r := newRig(t, base())
+	c := r.call(0)
+	r.step(100, list(1), c)
+	r.step(100.1, answer(c.ID, 1, 0, Completed))
+	if n := len(only[CallOut](r.step(100.2, Recall{Memory: sickOf(true)}, r.call(0), r.call(0)))); n != 2 {
+		t.Errorf("%d sends to an endpoint that answers, want 2", n)
+	}
+	odd := sickOf(false)
+	odd.Used, odd.Came, odd.Took = -1, -5, TookMemory{Bins: []uint8{255, 3}, Weights: []uint16{9}}
+	odd.Endpoints[0].Endpoint, odd.Lane.Pace = 77, -3
+	r = newRig(t, base())
+	if n := len(only[CallOut](r.step(100, list(1), Recall{Age: -5, Memory: odd}, r.call(0)))); n != 1 {
+		t.Errorf("%d sends after a memory that makes no sense, want 1", n)
+	}
+}
+
+// Changes of health are told first and soon, others every ten seconds, each once, and nothing unless asked for.
+func TestRememberIsBounded(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		set := base()
+		set.Remember = on
+		r := newRig(t, set)
+		r.step(0, list(1))
+		told, sick, out := 0, 0.0, 0.0
+		for at := 0.1; at < 40; at += 0.1 {
+			c := r.call(0)
+			outcome := Completed
+			if at > 25 {
+				outcome = RefusedConn
+				if sick == 0 {
+					sick = at
+				}
+			}
+			for _, a := range only[CallOut](r.step(at, c)) {
+				r.step(at, answer(a.ID, 1, 0, outcome))
+			}
+			for _, m := range r.s.Remember(sec(at), 1) {
+				if told++; m.Sick && out == 0 {
+					out = at
+				}
+			}
+		}
+		switch {
+		case !on && told > 0:
+			t.Errorf("%d memories without a wish for any", told)
+		case on && (told < 3 || told > 5 || out-sick > 1.2):
+			t.Errorf("%d memories in 40 s, an outage of %.1f s told at %.1f s", told, sick, out)
+		}
+	}
+}
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -176,6 +176,7 @@
 	}
 	s.turned[e.dest.kind] = x
 	s.report(e, r.Load)
+	s.note(e.dest, false)
 	if r.Wait > 0 { // an answer to several messages may tell one beside those that were delivered
 		e.lane.until = max(e.lane.until, s.now+r.Wait)
 	}
@@ -274,6 +275,7 @@
 	}
 	if e.suspect {
 		s.log("endpoint %d answers again", e.id)
+		s.note(e.dest, true)
 		e.suspect, e.backAt = false, s.now
 		e.trialGap = 0
 	}
@@ -319,6 +321,7 @@
 func (s *Sender) takeOut(e *endpoint, how string) {
 	s.suspect(e, how)
 	if !e.cold {
+		s.note(e.dest, true)
 		e.cold = true
 		e.dest.came, e.dest.downAt = 1, s.now
 	}
@@ -327,6 +330,7 @@
 func (s *Sender) suspect(e *endpoint, how string) {
 	if !e.suspect {
 		s.log("endpoint %d out: %s", e.id, how)
+		s.note(e.dest, true)
 		e.suspect, e.trialGap, e.trialAt = true, trialGap, s.now+trialGap
 	}
 }
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -90,6 +90,8 @@
 	wellSent []Micros
 	peak     float64
 	trace    []string
+	restarts bool // processes die, and others take up what they have left
+	memories map[int64]Recall
 }
 
 type wmsg struct {
@@ -140,7 +142,7 @@
 	return &world{t: t, set: set, rnd: rand.New(rand.NewPCG(seed, 1)), s: s, msgs: map[string]*wmsg{},
 		eps: map[EndpointID]*wep{}, waits: map[string]Micros{}, asked: map[EndpointID]int{},
 		keys: map[string][]*wmsg{}, quiet: map[string]Micros{}, quietBy: map[string]*wmsg{},
-		outage: [2]Micros{12 * Second, 20 * Second}}
+		outage: [2]Micros{12 * Second, 20 * Second}, memories: map[int64]Recall{}}
 }
 
 // play runs 40 seconds of random traffic.
@@ -180,6 +182,14 @@
 		if len(evs) > 0 {
 			w.run(evs...)
 		}
+		if w.restarts {
+			for _, m := range w.s.Remember(w.now, 2) {
+				w.memories[m.Dest] = Recall{Age: w.now, Memory: m} // when it was made
+			}
+			if w.rnd.IntN(1500) == 0 {
+				w.restart()
+			}
+		}
 		w.live = slices.DeleteFunc(w.live, func(m *wmsg) bool { return m.ended })
 		for _, m := range w.live {
 			if w.now > m.deadline {
@@ -189,6 +199,46 @@
 	}
 }
 
+// restart has the process die and another one take up what the first has left. What was out may have run; what
+// was told of waits is kept, as is what was last told of destinations.
+func (w *world) restart() {
+	s, err := New(w.set, w.rnd.Uint64())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.s, w.queue, w.slots = s, nil, 0
+	clear(w.quiet) // the rest of a key is not kept
+	cached := Endpoints{Form: ListCached}
+	for _, id := range w.order {
+		row := w.eps[id].row
+		if w.eps[id].closed {
+			row.State = Draining
+		}
+		cached.Entries = append(cached.Entries, row)
+	}
+	evs := []Event{cached}
+	for _, id := range w.order {
+		if left := w.waits[w.lane(w.eps[id])] - w.now; left > 0 {
+			evs = append(evs, Told{id, left})
+		}
+	}
+	for dest := range int64(6) {
+		if r, ok := w.memories[dest]; ok {
+			r.Age = w.now - r.Age
+			evs = append(evs, r)
+		}
+	}
+	for _, m := range w.live {
+		if m.mayRun, m.out = m.mayRun || m.out, false; m.ended {
+			continue
+		}
+		ci := slices.IndexFunc(w.set.Classes, func(c Class) bool { return c.Name == m.class.Name })
+		evs = append(evs, Call{ID: m.id, Left: m.deadline - w.now, Key: m.key, Dest: m.dest, Tenant: -1, Class: ci,
+			Past: Past{Tries: m.tries, MayRun: m.mayRun, Age: w.now - m.firstMay, Zone: m.zone}})
+	}
+	w.run(evs...)
+}
+
 func (w *world) arrival() Event {
 	ci := w.rnd.IntN(len(w.set.Classes))
 	c := w.set.Classes[ci]
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -41,6 +41,21 @@
 	}
 }
 
+// The rules hold over restarts too, that of a returning destination above all: a process that dies is followed by
+// one that knows what it knew.
+func TestRulesOverRestarts(t *testing.T) {
+	for name, set := range variants() {
+		t.Run(name, func(t *testing.T) {
+			set.Remember = true
+			for seed := uint64(1); seed <= 6; seed++ {
+				w := newWorld(t, set, seed)
+				w.restarts = true
+				w.play()
+			}
+		})
+	}
+}
+
 func TestSameEventsSameActions(t *testing.T) {
 	for _, name := range []string{"apart", "zones", "reports"} {
 		a, b := newWorld(t, variants()[name], 3), newWorld(t, variants()[name], 3)
--- a/logic/state.go
+++ b/logic/state.go
@@ -21,6 +21,11 @@
 	came   int     // messages since the last outage began
 	downAt Micros  // when that was seen
 	rank   float64 // messages ahead in the pass at hand
+	restTo Micros  // its cold endpoints rest until then after a restart
+
+	noted, urgent bool   // it has news for a later process; of its health
+	recalled      bool   // an earlier process's have been taken up
+	toldAt        Micros // when they were last told
 }
 
 type lane struct {
@@ -156,6 +161,8 @@
 	many      bool            // senders
 	turned    map[int]float64 // by kind, share of calls turned away
 	meanWorth float64         // of messages that came
+	news      []*dest         // to be remembered
+	newsAt    Micros          // when the next of them is due
 }
 
 // hist is a discounted latency histogram.
@@ -224,7 +231,7 @@
 func (s *Sender) dest(id int64) *dest {
 	d := s.dests[id]
 	if d == nil {
-		d = &dest{id: id, lane: &lane{}, used: s.now}
+		d = &dest{id: id, lane: &lane{}, used: s.now, toldAt: s.now}
 		s.dests[id] = d
 		s.order = append(s.order, d)
 	}
@@ -466,6 +473,8 @@
 		if e := s.eps[ev.Endpoint]; e != nil {
 			e.lane.until = max(e.lane.until, s.now+ev.Left)
 		}
+	case Recall:
+		s.recall(ev)
 	case Closing:
 		s.closeAt = s.now + ev.Left
 	case Due:
--- a/logic/types.go
+++ b/logic/types.go
@@ -99,6 +99,8 @@
 	WarmAfter    Micros  // and when it has all of it again
 	KeyQuiet     Micros  // rest of a key after an attempt whose end is not sure
 
+	Remember bool // Sender.Remember is going to be called
+
 	ReportLeft  int // place of the share of the limit that is left in Reply.Load; -1 if none
 	ReportLimit int // place of the limit in calls a second in Reply.Load; -1 if none
 }
