Leave large bodies of held messages on the disk and read them back for each call

Need: 100,000 held messages must not need their bodies in memory.

A body that can't be read back is never sent: the attempt counts as not made, and the message has its end when its attempts are used up.

--- a/cmd/measure/fronts.go
+++ b/cmd/measure/fronts.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cometrack/internal/standin/traffic"
 )
 
 // sinkhole is a partner that answers at once and counts.
@@ -78,24 +80,22 @@
 const partners = 16
 
 func respWay(p *process) (func(string) (bool, error), func(), error) {
-	c, err := net.Dial("tcp", p.Addrs[1])
+	c, err := traffic.DialRESP(p.Addrs[1])
 	if err != nil {
 		return nil, nil, err
 	}
-	r := bufio.NewReader(c)
 	n := 0
 	return func(id string) (bool, error) {
 		n++
-		opts := "c=safe,d=20000,dest=p" + strconv.Itoa(n%partners)
-		if _, err := fmt.Fprintf(c, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(id), id, len(opts), opts, len(body), body); err != nil {
+		if err := c.Put(id, "c=safe,d=20000,dest=p"+strconv.Itoa(n%partners), body); err != nil {
 			return false, err
 		}
-		line, err := r.ReadString('\n')
-		return line == "+OK\r\n", err
+		line, err := c.Answer()
+		return line == "+OK", err
 	}, func() { c.Close() }, nil
 }
 
-var body = string(bytes.Repeat([]byte("x"), 256))
+var body = bytes.Repeat([]byte("x"), 256)
 
 func httpWay(transport func() *http.Transport) func(p *process) (func(string) (bool, error), func(), error) {
 	var shared *http.Client
@@ -106,7 +106,7 @@
 		return func(id string) (bool, error) {
 			n++
 			resp, err := shared.Post("http://"+p.Addrs[0]+"/v1/messages?class=safe&left=20s&partner=p"+strconv.Itoa(n%partners)+"&id="+id,
-				"application/octet-stream", bytes.NewReader([]byte(body)))
+				"application/octet-stream", bytes.NewReader(body))
 			if err != nil {
 				return false, err
 			}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -48,6 +48,7 @@
 	or(&l.RetryAfter, Duration(30*time.Second))
 	or(&f.Store.Sync, "always")
 	or(&f.Store.Interval, Duration(time.Second))
+	or(&f.Store.Bodies, 1024)
 	r := &f.Rules
 	or(&r.DrainGrace, Duration(2*time.Second))
 	or(&r.FallMultiple, 2)
@@ -180,6 +181,7 @@
 	within(c, "limits.retry_after", l.RetryAfter, Duration(time.Millisecond), Duration(24*time.Hour))
 	oneOf(c, "store.sync", f.Store.Sync, "always", "interval", "never")
 	within(c, "store.interval", f.Store.Interval, Duration(time.Millisecond), Duration(time.Minute))
+	within(c, "store.body_in_memory", f.Store.Bodies, 1, message.MaxBody)
 	r := f.Rules
 	within(c, "rules.drain_grace", r.DrainGrace, 0, Duration(time.Hour))
 	within(c, "rules.fall_multiple", r.FallMultiple, 1, 1000)
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -58,8 +58,9 @@
 
 // Store is what the journal does for what it writes.
 type Store struct {
-	Sync     string   `toml:"sync"`     // always, interval or never
-	Interval Duration `toml:"interval"` // interval: between two syncs
+	Sync     string   `toml:"sync"`           // always, interval or never
+	Interval Duration `toml:"interval"`       // interval: between two syncs
+	Bodies   int      `toml:"body_in_memory"` // a larger body of a held message is left on the disk
 }
 
 // Rules are the figures of the rules that protect partners.
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -66,7 +66,7 @@
 	if e := c.store.Entry(a.ID); e != nil && e.MayRun && class.Effect == logic.Keyed { // a repeat: by the end of the window it must be written
 		out.WriteBy = time.UnixMicro(e.FirstMay).Add(span(class.Window))
 	}
-	h.attempt = out
+	h.attempt, out.left = out, h.left
 	return out
 }
 
@@ -93,12 +93,7 @@
 	go func() {
 		defer stop()
 		at := time.Now()
-		var results []Result
-		if len(call) == 1 {
-			results = []Result{c.transport.Attempt(ctx, call[0])}
-		} else {
-			results = c.transport.Batch(ctx, call)
-		}
+		results := c.carry(ctx, call)
 		took := time.Since(at)
 		ev, local := make(replyEvent, len(call)), false
 		for i, out := range call {
@@ -111,6 +106,46 @@
 	}()
 }
 
+// carry makes the attempts of a call. One whose body can't be read back is none.
+func (c *Core) carry(ctx context.Context, call []*Attempt) []Result {
+	results, whole, at := make([]Result, len(call)), make([]*Attempt, 0, len(call)), make([]int, 0, len(call))
+	for i, out := range call {
+		if err := c.load(out); err != nil {
+			if out.Hold() && ctx.Err() == nil {
+				c.log.Error("a message can't be sent", "id", out.Message.ID, "err", err)
+			}
+			results[i] = Result{Outcome: logic.Moot, Local: true}
+			continue
+		}
+		whole, at = append(whole, out), append(at, i)
+	}
+	switch len(whole) {
+	case 0:
+	case 1:
+		results[at[0]] = c.transport.Attempt(ctx, whole[0])
+	default:
+		for i, r := range c.transport.Batch(ctx, whole) {
+			results[at[i]] = r
+		}
+	}
+	return results
+}
+
+// load reads back the body of a message that was left in the store.
+func (c *Core) load(out *Attempt) error {
+	if !out.left {
+		return nil
+	}
+	body, err := c.store.Body(out.Message.ID)
+	if err != nil {
+		return err
+	}
+	whole := *out.Message
+	whole.Body = body
+	out.Message = &whole
+	return nil
+}
+
 // pause waits for d or until ctx is over.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,7 @@
 	msg      *message.Message
 	accepted int64 // Unix time in microseconds
 	tries    int
+	left     bool               // its body is in the store only
 	door     *Door              // that it came through; nil after a restart
 	over     bool               // ended; an attempt is still out
 	stop     context.CancelFunc // of the attempt that is out
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -81,6 +81,7 @@
 	Store
 	mu   sync.Mutex
 	fail bool
+	lost bool            // bodies can't be read back
 	sick map[string]bool // partners, as last told
 }
 
@@ -121,6 +122,21 @@
 	}
 }
 
+func (f *failing) Body(id string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		return nil, errors.New("damaged record")
+	}
+	return f.Store.Body(id)
+}
+
+func (f *failing) lose(lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = lost
+}
+
 func (f *failing) set(fail bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -153,7 +169,7 @@
 
 func newRig(t *testing.T, dir string, cfg Config) *rig {
 	t.Helper()
-	j, err := journal.Open(dir, journal.Options{Disk: 3e6, KeepEnded: time.Hour, MostEnded: 100, Partners: cfg.Settings.Remember})
+	j, err := journal.Open(dir, journal.Options{Disk: 3e6, KeepEnded: time.Hour, MostEnded: 100, Partners: cfg.Settings.Remember, Bodies: 100})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -139,7 +139,7 @@
 			c.sink.Add(&e.Message, *e.End)
 			continue
 		}
-		c.held[e.ID] = &held{msg: &e.Message, accepted: e.Accepted, tries: e.Tries}
+		c.held[e.ID] = &held{msg: &e.Message, accepted: e.Accepted, tries: e.Tries, left: e.Left > 0}
 		c.open++
 		in := c.callOf(&e.Message, now)
 		in.Past = logic.Past{Tries: e.Tries, MayRun: e.MayRun || e.Open}
--- a/internal/core/restart_test.go
+++ b/internal/core/restart_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -162,3 +163,58 @@
 		})
 	}
 }
+
+// A large body that is left on the disk is in each attempt, of a new message and of
+// one that is sent again, before and after a restart; what comes again is known by
+// it. One that can't be read back is never sent, and the message has its end.
+func TestLargeBodyIsReadBack(t *testing.T) {
+	dir := t.TempDir()
+	r := newRig(t, dir, testConfig()).run()
+	big := func(fill string) *message.Message {
+		m := newMessage("a", "unsafe")
+		m.Body = bytes.Repeat([]byte(fill), 3000)
+		return m
+	}
+	attempt := func(o logic.Outcome) {
+		t.Helper()
+		in := byhand.Await(t, r.hand.attempts, "attempt")
+		if !bytes.Equal(in.Message.Body, big("x").Body) {
+			t.Errorf("attempt %d has a body of %d bytes", in.Number, len(in.Message.Body))
+		}
+		in.result <- Result{Outcome: o}
+	}
+	r.put(big("x"))
+	attempt(logic.RefusedConn)
+	attempt(logic.RefusedConn)
+	if e := r.store.Entry("a"); e.Left != 3000 || e.Body != nil {
+		t.Errorf("%d bytes left on the disk, %d in memory", e.Left, len(e.Body))
+	}
+	if a, b := r.put(big("x")), r.put(big("y")); a.Verdict != Accepted || !a.Again || b.Verdict != Conflict {
+		t.Errorf("again: %+v, with another body: %+v", a, b)
+	}
+	r.kill()
+	r = newRig(t, dir, testConfig()).run()
+	if a, b := r.put(big("x")), r.put(big("y")); a.Verdict != Accepted || b.Verdict != Conflict {
+		t.Errorf("after the restart, again: %+v, with another body: %+v", a, b)
+	}
+	attempt(logic.Completed)
+	if x := byhand.Await(t, r.ends.told, "end"); x.State != message.Delivered {
+		t.Errorf("told %+v", x)
+	}
+	r.ends.confirm <- "a"
+	r.store.lose(true)
+	b := big("x")
+	b.ID = "b"
+	r.put(b)
+	byhand.Await(t, r.hand.attempts, "attempt").result <- Result{Outcome: logic.RefusedConn}
+	if x := byhand.Await(t, r.ends.told, "end"); x.ID != "b" || x.State != message.Returned {
+		t.Errorf("told %+v", x)
+	}
+	select {
+	case in := <-r.hand.attempts:
+		t.Errorf("attempt %d was made without its body", in.Number)
+	default:
+	}
+	r.ends.confirm <- "b"
+	r.halt()
+}
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -65,6 +65,7 @@
 	WriteBy time.Time
 
 	state atomic.Int32
+	left  bool // the message's body is in the store only
 }
 
 // The states of an attempt. It goes from the first to one of the others, once.
@@ -150,6 +151,9 @@
 	Entry(id string) *journal.Entry
 	Entries() []*journal.Entry
 	Ended(id string) *journal.Ended
+	// Body reads back a body that an entry tells to be left in the store. It may be
+	// called beside all else.
+	Body(id string) ([]byte, error)
 	Waits() map[string]int64
 	Partners() map[string]*journal.Partner
 	Forget(now time.Time)
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -61,7 +61,6 @@
 	}
 	clear(c.puts)
 	c.puts = c.puts[:0]
-	clear(c.fresh)
 	for _, x := range c.tell { // nobody is told of what the journal does not say
 		c.sink.Add(x.msg, x.end)
 	}
@@ -76,9 +75,23 @@
 		c.act(work, a, answers, now)
 	}
 	c.callOuts(work, outs, err == nil)
+	c.leaveBodies()
 	c.tellStates()
 }
 
+// leaveBodies forgets the bodies of new messages that the store has taken over.
+// Calls that are on their way have them still.
+func (c *Core) leaveBodies() {
+	for id := range c.fresh {
+		if e, h := c.store.Entry(id), c.held[id]; e != nil && h != nil && e.Left > 0 {
+			without := *h.msg
+			without.Body = nil
+			h.msg, h.left = &without, true
+		}
+	}
+	clear(c.fresh)
+}
+
 // isOwed says whether the message has been taken on and is not over.
 func (c *Core) isOwed(id string) bool {
 	e := c.store.Entry(id)
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -40,7 +40,7 @@
 
 // known returns the digest of a message that is held or remembered.
 func (c *Core) known(id string) (digest uint64, ok bool) {
-	if h := c.held[id]; h != nil {
+	if h := c.held[id]; h != nil && !h.left {
 		return h.msg.Digest(), true
 	}
 	if e := c.store.Entry(id); e != nil {
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -40,7 +40,7 @@
 		return nil, fmt.Errorf("state folder: %w", err)
 	}
 	kept, err := journal.Open(f.State, journal.Options{Disk: int64(f.Limits.DiskMB) * 1e6,
-		KeepEnded: time.Duration(f.Limits.Remember), MostEnded: f.Limits.Remembered, Partners: true,
+		KeepEnded: time.Duration(f.Limits.Remember), MostEnded: f.Limits.Remembered, Partners: true, Bodies: f.Store.Bodies,
 		Sync: f.Store.Mode(), Every: time.Duration(f.Store.Interval), Log: log})
 	if err != nil {
 		return nil, err
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -18,13 +18,14 @@
 	FirstZone string       `json:"at_zone,omitempty"`   // zone of its endpoint
 	End       *message.End `json:"end,omitempty"`
 	OldDest   *int64       `json:"dest,omitempty"`   // the partner, in files of before 0.2
-	EndDigest uint64       `json:"digest,omitempty"` // of the message as it was, once it has ended and its body is gone
+	EndDigest uint64       `json:"digest,omitempty"` // of the message as it was, once its body is not in memory
+	Left      int          `json:"-"`                // bytes of a body that is in the store only, see [Journal.Body]
 	n         int64        // its place in the order in which messages were taken on
 }
 
 // Told is the digest of the message as it was handed in.
 func (e *Entry) Told() uint64 {
-	if e.End != nil {
+	if e.End != nil || e.Left > 0 {
 		return e.EndDigest
 	}
 	return e.Digest()
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -21,6 +21,7 @@
 	// room outlive the process.
 	KeepEnded time.Duration
 	MostEnded int
+	Bodies    int  // a larger body is left on the disk until it is asked for; 0 to have all in memory
 	Partners  bool // what is known of partners is kept too, in a twentieth of the room
 	Sync      store.Sync
 	Every     time.Duration // store.SyncInterval: how often
@@ -120,6 +121,7 @@
 				return err
 			}
 			j.entries[id] = r.entry(id)
+			j.leave(j.entries[id])
 			j.n = max(j.n, r.N)
 		case keyState:
 			r := &stateRecord{}
@@ -217,9 +219,41 @@
 		}
 		return fmt.Errorf("journal: %w", err)
 	}
+	for i := range recs {
+		if recs[i].Op == OpAccept && recs[i].Entry != nil {
+			j.leave(recs[i].Entry)
+		}
+	}
 	return nil
 }
 
+// leave leaves a large body to the store.
+func (j *Journal) leave(e *Entry) {
+	if most := j.opts.Bodies; most > 0 && len(e.Body) > most {
+		e.EndDigest, e.Left, e.Body = e.Digest(), len(e.Body), nil
+	}
+}
+
+// Body reads the body of a message back that was left to the store; see
+// [Entry.Left]. It may be called beside all else.
+func (j *Journal) Body(id string) ([]byte, error) {
+	value, err := j.store.Get(keyMessage + id)
+	if err != nil {
+		return nil, fmt.Errorf("journal: the body of %q: %w", id, err)
+	}
+	var r messageRecord
+	if value == nil {
+		return nil, fmt.Errorf("journal: the body of %q: %w", id, ErrNoBody)
+	}
+	if err := decode(keyMessage+id, value, &r); err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	return r.Body, nil
+}
+
+// ErrNoBody says that nothing is held under an id.
+var ErrNoBody = errors.New("not held")
+
 // apply brings the entries up to date with a record. What must not count if it
 // can't be written comes with a way to undo it.
 func (j *Journal) apply(rec *Record) (undo func()) {
@@ -284,9 +318,9 @@
 		if rec.End == nil || e.End != nil {
 			return nil
 		}
+		e.EndDigest = e.Told()
 		e.End = rec.End
-		e.EndDigest = e.Digest()
-		e.Body = nil
+		e.Body, e.Left = nil, 0
 		j.mark(e.ID, markMessage)
 	case OpDone, OpNoticed:
 		delete(j.entries, e.ID)
@@ -299,11 +333,9 @@
 // endedOf is what is remembered of a message whose last record is rec.
 func (j *Journal) endedOf(e *Entry, rec *Record) *Ended {
 	x := &Ended{ID: e.ID, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, State: message.Delivered, Tries: e.Tries,
-		Accepted: e.Accepted, Over: rec.At, Digest: e.EndDigest, Until: e.Deadline, n: e.n}
+		Accepted: e.Accepted, Over: rec.At, Digest: e.Told(), Until: e.Deadline, n: e.n}
 	if e.End != nil {
 		x.State, x.AfterMS, x.Over = e.End.State, e.End.AfterMS, e.End.At
-	} else {
-		x.Digest = e.Digest()
 	}
 	if k := j.opts.KeepEnded; k > 0 {
 		x.Until = x.Over + k.Microseconds()
@@ -382,7 +414,7 @@
 func (j *Journal) put(b *store.Batch, id string, m mark) {
 	e, x := j.entries[id], j.ended.byID[id]
 	if e != nil && e.End == nil {
-		if m&markMessage != 0 {
+		if m&markMessage != 0 && e.Left == 0 { // one that is left is there
 			b.Put(keyMessage+id, messageOf(&j.buf, e))
 		}
 		if m&markState != 0 {
--- a/internal/journal/old.go
+++ b/internal/journal/old.go
@@ -62,6 +62,9 @@
 	if err := j.store.Flush(); err != nil {
 		return err
 	}
+	for _, e := range j.entries {
+		j.leave(e)
+	}
 	j.log.Info("journal: the file of an older version has been taken over", "records", n, "held", len(j.entries), "cut", len(b)-read)
 	for _, name := range []string{oldNew, oldName} {
 		if err := dir.Remove(name); err != nil && !errors.Is(err, fs.ErrNotExist) {
--- a/internal/standin/traffic/traffic.go
+++ b/internal/standin/traffic/traffic.go
@@ -3,7 +3,6 @@
 package traffic
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -67,17 +66,17 @@
 // PutRESP hands a message in on a connection of its own and returns the answer;
 // empty if none came.
 func PutRESP(addr, id, to, class string) string {
-	conn, err := net.Dial("tcp", addr)
+	c, err := DialRESP(addr)
 	if err != nil {
 		return ""
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(patience))
-	opts := fmt.Sprintf("c=%s,k=%s,d=6000,dest=%s", class, id, to)
-	body := "body of " + id
-	fmt.Fprintf(conn, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(id), id, len(opts), opts, len(body), body)
-	line, _ := bufio.NewReader(conn).ReadString('\n')
-	return strings.TrimSpace(line)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	if c.Put(id, fmt.Sprintf("c=%s,k=%s,d=6000,dest=%s", class, id, to), []byte("body of "+id)) != nil {
+		return ""
+	}
+	line, _ := c.Answer()
+	return line
 }
 
 // Put hands a message in over one port or the other. heard is false if no answer
