Make room among clients' connections by those that have had an answer

With a line for each connection that was closed for room: 6,990 in 25 s, 5,635 of which had had one answer and are not used again, while 1,354 had said nothing yet, for 180 ms and more. The latter were about to ask: their requests came on closed connections and count as refused.

Change: both fronts close those that have had an answer first, the idlest before others; silent ones only when they have taken three quarters of the places. One on which a request lies unread is not idle.

--- a/internal/front/http/places.go
+++ b/internal/front/http/places.go
@@ -1,6 +1,7 @@
 package httpfront
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"net/http"
@@ -8,8 +9,13 @@
 	"time"
 )
 
+// silentPart of all connections may be ones that have asked nothing.
+const silentPart = 0.75
+
 // places bounds the connections. When all are taken, the idlest one without a
-// request makes room; if there is none, the new one is closed.
+// request makes room: of those that have had an answer first, since one that has
+// asked nothing yet is about to, unless such ones have taken most places. If there
+// is none, the new one is closed.
 type places struct {
 	most  int
 	mu    sync.Mutex
@@ -20,6 +26,7 @@
 type place struct {
 	since time.Time // when it became idle, or was made
 	busy  bool
+	done  bool // it has had an answer
 }
 
 // take gives a new connection a place; false if there is none.
@@ -35,12 +42,24 @@
 
 // evict closes the idlest connection. It is called under the lock.
 func (p *places) evict() bool {
-	var idlest net.Conn
+	var idlest, silent net.Conn
+	n := 0
 	for c, x := range p.conns {
-		if !x.busy && (idlest == nil || x.since.Before(p.conns[idlest].since)) {
-			idlest = c
+		switch {
+		case x.busy:
+		case x.done:
+			if idlest == nil || x.since.Before(p.conns[idlest].since) {
+				idlest = c
+			}
+		default:
+			if n++; silent == nil || x.since.Before(p.conns[silent].since) {
+				silent = c
+			}
 		}
 	}
+	if idlest == nil || float64(n) > silentPart*float64(p.most) {
+		idlest = cmp.Or(silent, idlest)
+	}
 	if idlest == nil {
 		return false
 	}
@@ -64,7 +83,7 @@
 	case http.StateActive:
 		p.conns[c] = place{since: time.Now(), busy: true}
 	case http.StateIdle:
-		p.conns[c] = place{since: time.Now()}
+		p.conns[c] = place{since: time.Now(), done: true}
 	case http.StateClosed, http.StateHijacked:
 		delete(p.conns, c)
 	}
--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -5,16 +5,19 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"cometrack/internal/core"
 	"cometrack/internal/message"
+	"cometrack/internal/netutil"
 )
 
 const (
 	acceptPause  = 5 * time.Millisecond
-	maxPipelined = 16 // requests of one connection that wait for their answers
+	silentPart   = 0.75 // of all connections may be ones that have said nothing
+	maxPipelined = 16   // requests of one connection that wait for their answers
 	smallRequest = 4 << 10
 	largeRequest = message.MaxBody + smallRequest
 )
@@ -123,27 +126,52 @@
 	}
 }
 
-// evict closes the idlest connection; false if a request is under way on each.
+// evict closes a connection to make room; false if a request is under way on each.
 func (c *Front) evict() bool {
 	c.mu.Lock()
-	var idlest *session
-	for s := range c.sessions {
-		if s.open == 0 && (idlest == nil || s.since.Before(idlest.since)) {
-			idlest = s
-		}
-	}
-	if idlest != nil {
-		idlest.gone = true
-		delete(c.sessions, idlest)
+	s := c.idlest()
+	if s != nil {
+		s.gone = true
+		delete(c.sessions, s)
 	}
 	c.mu.Unlock()
-	if idlest == nil {
+	if s == nil {
 		return false
 	}
-	idlest.conn.Close()
+	s.conn.Close()
 	return true
 }
 
+// idlest picks the connection that is missed least. One that has had an answer may
+// be done with, one that has said nothing yet is about to: the former go first, the
+// longest at rest before others, unless the silent ones have taken most places. One
+// on which a request has come that its reader has not seen yet is not idle.
+func (c *Front) idlest() *session {
+	var done, silent []*session
+	for s := range c.sessions {
+		switch {
+		case s.open > 0:
+		case s.served:
+			done = append(done, s)
+		default:
+			silent = append(silent, s)
+		}
+	}
+	first, then := done, silent
+	if float64(len(silent)) > silentPart*float64(c.opts.Connections) {
+		first, then = silent, done
+	}
+	for _, list := range [...][]*session{first, then} {
+		slices.SortFunc(list, func(a, b *session) int { return a.since.Compare(b.since) })
+		for _, s := range list {
+			if _, data := netutil.Peek(s.conn); !data {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
 func (c *Front) remove(s *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/resp/front_test.go
+++ b/internal/front/resp/front_test.go
@@ -294,3 +294,40 @@
 		t.Errorf("another's: %q", got)
 	}
 }
+
+// One that has said nothing yet is about to ask: it is kept before one that has had an answer, unless such ones
+// have taken most places.
+func TestSilentClientsAreKept(t *testing.T) {
+	for _, x := range []struct {
+		silent int // of eight, the first to come
+		gone   int // which of the eight makes room
+	}{{1, 1}, {6, 6}, {7, 0}, {8, 0}} {
+		f := serve(t, Options{Connections: 8})
+		var all []*client
+		for i := range 8 {
+			all = append(all, dial(t, f))
+			byhand.Until(t, "client at the front", func() bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return len(f.sessions) == i+1
+			})
+			if i >= x.silent {
+				if got := all[i].do("PING"); got != "+PONG" {
+					t.Fatal(got)
+				}
+			}
+		}
+		if got := dial(t, f).do("PING"); got != "+PONG" {
+			t.Errorf("with %d silent clients a new one gets %q", x.silent, got)
+		}
+		for i, c := range all {
+			if i == x.gone {
+				if got := c.ended(); got != "" {
+					t.Errorf("with %d silent clients, client %d got %q", x.silent, i, got)
+				}
+			} else if got := c.do("PING"); got != "+PONG" {
+				t.Errorf("with %d silent clients, client %d gets %q", x.silent, i, got)
+			}
+		}
+	}
+}
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -39,9 +39,10 @@
 	errors atomic.Int32 // in a row
 
 	// Under the lock of the front.
-	open  int       // requests that have begun to come and are not answered
-	since time.Time // when the last one was answered
-	gone  bool      // closed to make room
+	open   int       // requests that have begun to come and are not answered
+	served bool      // one has been answered
+	since  time.Time // when the last one was answered
+	gone   bool      // closed to make room
 
 	tenant string // that its token stands for
 	authed bool   // it has shown a token
@@ -225,6 +226,7 @@
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	s.open--
+	s.served = true
 	s.since = time.Now()
 }
 
