Hand load in on a schedule that does not wait for replies: cometload, its plans and accounts

Need: clients that wait for answers stop asking while the system stands still, and hide that it did.

Partners, traces, HTML and comparisons are still to come.

--- /dev/null
+++ b/cmd/cometload/main.go
@@ -0,0 +1,119 @@
+// Command cometload hands messages to a daemon on a schedule that does not wait for
+// it, and reports how late they were from when they were due.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cometrack/internal/load"
+	"cometrack/internal/load/drive"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{Use: "cometload", Short: "Load on a schedule that does not wait for replies", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(runCommand(), checkCommand())
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "cometload:", err)
+		os.Exit(1)
+	}
+}
+
+func read(path string) (*load.Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := load.Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check SCENARIO.toml", Short: "Check a scenario, and count its messages", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := read(args[0])
+			if err != nil {
+				return err
+			}
+			n, p := 0, s.Plan()
+			for _, ok := p.Next(); ok; _, ok = p.Next() {
+				n++
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d messages in %v\n", n, s.Span())
+			return nil
+		}}
+}
+
+func runCommand() *cobra.Command {
+	var opts drive.Options
+	var out string
+	var quiet bool
+	cmd := &cobra.Command{Use: "run SCENARIO.toml", Short: "Play a scenario against a running daemon", Args: cobra.ExactArgs(1)}
+	f := cmd.Flags()
+	f.StringVar(&opts.RESP, "resp", "", "address of the RESP2 front")
+	f.StringVar(&opts.HTTP, "http", "", "address of the HTTP front; ends are followed there")
+	f.IntVar(&opts.Connections, "connections", 16, "connections to each front")
+	f.DurationVar(&opts.Drain, "drain", 30*time.Second, "how long after the last message answers and ends are waited for")
+	f.StringVar(&opts.Run, "run", "", "begins the ids of this run; default: of the time")
+	f.StringVar(&out, "json", "", "write the report to this file too")
+	f.BoolVar(&quiet, "quiet", false, "no progress")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		var err error
+		if opts.Scenario, err = read(args[0]); err != nil {
+			return err
+		}
+		if opts.Run == "" {
+			opts.Run = "load" + strconv.FormatInt(time.Now().UnixNano(), 36)
+		}
+		if !quiet {
+			opts.Progress = func(p drive.Progress) {
+				fmt.Fprintf(cmd.ErrOrStderr(), "\r%5.0f s  %d handed in  %d accepted  %d refused  %d unanswered ", p.At.Seconds(), p.Sent, p.Accepted, p.Refused, p.InFlight)
+			}
+		}
+		r, err := drive.Run(cmd.Context(), opts)
+		if err != nil {
+			return err
+		}
+		if !quiet {
+			fmt.Fprintln(cmd.ErrOrStderr())
+		}
+		report := opts.Scenario.Report(r.Recorder, r.Took)
+		report.Account, report.Dropped, report.Broken, report.Faults, report.Found = r.Account, r.Dropped, r.Broken, r.Faults, r.Found
+		if err := report.Text(cmd.OutOrStdout()); err != nil {
+			return err
+		}
+		if out != "" {
+			b, err := json.MarshalIndent(report, "", "  ")
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(out, append(b, '\n'), 0o644); err != nil {
+				return err
+			}
+		}
+		switch {
+		case !report.Valid:
+			return errors.New("the run is not valid")
+		case report.Found > 0:
+			return fmt.Errorf("%d faults", report.Found)
+		case report.Dropped > 0:
+			return errors.New("the system fell behind")
+		}
+		return nil
+	}
+	return cmd
+}
--- a/cmd/measure/fronts.go
+++ b/cmd/measure/fronts.go
@@ -87,7 +87,7 @@
 	n := 0
 	return func(id string) (bool, error) {
 		n++
-		if err := c.Put(id, "c=safe,d=20000,dest=p"+strconv.Itoa(n%partners), body); err != nil {
+		if err := c.Put("0", id, "c=safe,d=20000,dest=p"+strconv.Itoa(n%partners), body); err != nil {
 			return false, err
 		}
 		line, err := c.Answer()
--- a/cmd/measure/held.go
+++ b/cmd/measure/held.go
@@ -48,7 +48,7 @@
 	const pipelined = 16
 	for at := 0; at < most; at += pipelined {
 		for i := range pipelined {
-			if err := c.Put(fmt.Sprint("m", at+i), "c=safe,d=100000,dest=p0", body); err != nil {
+			if err := c.Put("0", fmt.Sprint("m", at+i), "c=safe,d=100000,dest=p0", body); err != nil {
 				return err
 			}
 		}
--- /dev/null
+++ b/internal/load/shape.go
@@ -0,0 +1,136 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Shape says how the rate of a phase runs.
+type Shape string
+
+// The shapes.
+const (
+	Constant Shape = "constant" // Rate throughout
+	Ramp     Shape = "ramp"     // evenly from Rate to To
+	Step     Shape = "step"     // from Rate to To in Steps equal stretches
+	Wave     Shape = "wave"     // around Rate, by To up and down, once in Period
+	Spike    Shape = "spike"    // from Rate to To ever faster, then nothing, as before a deadline
+)
+
+// curve is a rate over a phase. Messages are due where its integral reaches given
+// values, so the same numbers give the same instants whatever is answered.
+type curve struct {
+	shape    Shape
+	span     float64 // seconds
+	from, to float64 // messages a second
+	steps    float64
+	period   float64 // seconds
+}
+
+func (p *Phase) curve() curve {
+	return curve{shape: p.Shape, span: p.For.Seconds(), from: p.Rate, to: p.To, steps: float64(p.Steps), period: p.Period.Seconds()}
+}
+
+// rate is the rate at a time within the phase.
+func (c curve) rate(t float64) float64 {
+	switch c.shape {
+	case Ramp:
+		return c.from + (c.to-c.from)*t/c.span
+	case Step:
+		return c.from + (c.to-c.from)*c.step(t)/(c.steps-1)
+	case Wave:
+		return c.from + c.to*math.Sin(2*math.Pi*t/c.period)
+	case Spike:
+		return c.from * math.Pow(c.to/c.from, t/c.span)
+	}
+	return c.from
+}
+
+func (c curve) step(t float64) float64 { return min(math.Floor(t/c.span*c.steps), c.steps-1) }
+
+// due is how many messages are due before t.
+func (c curve) due(t float64) float64 {
+	switch c.shape {
+	case Ramp:
+		return c.from*t + (c.to-c.from)*t*t/(2*c.span)
+	case Step:
+		n, each := c.step(t), c.span/c.steps
+		rise := (c.to - c.from) / (c.steps - 1)
+		return each*(n*c.from+rise*n*(n-1)/2) + (t-n*each)*(c.from+rise*n)
+	case Wave:
+		w := 2 * math.Pi / c.period
+		return c.from*t + c.to/w*(1-math.Cos(w*t))
+	case Spike:
+		k := math.Log(c.to / c.from)
+		return c.from * c.span / k * math.Expm1(k*t/c.span)
+	}
+	return c.from * t
+}
+
+// at is when so many messages are due: what due is undone by. It is the span's end
+// for more than the phase has.
+func (c curve) at(n float64) float64 {
+	if n >= c.due(c.span) {
+		return c.span
+	}
+	switch c.shape {
+	case Constant:
+		return n / c.from
+	case Spike:
+		k := math.Log(c.to / c.from)
+		return c.span / k * math.Log1p(n*k/(c.from*c.span))
+	}
+	low, high := 0.0, c.span // due grows with t: halve until a nanosecond is left
+	for high-low > 1e-10*max(1, c.span) {
+		if mid := (low + high) / 2; c.due(mid) < n {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return high
+}
+
+// check says what makes no sense in a phase.
+func (p *Phase) check() error {
+	bad := func(field, format string, args ...any) error {
+		return &FieldError{field, fmt.Sprintf(format, args...)}
+	}
+	switch {
+	case p.For <= 0 || time.Duration(p.For) > MaxSpan:
+		return bad("for", "not within 0 and %v", MaxSpan)
+	case !(p.Rate > 0) || p.Rate > MaxRate:
+		return bad("rate", "not above 0 and at most %.0f messages a second", MaxRate)
+	case p.Spacing != Even && p.Spacing != Poisson:
+		return bad("spacing", "%q is neither even nor poisson", p.Spacing)
+	case p.Burst < 0 || p.Burst > MaxBurst:
+		return bad("burst", "not within 0 and %d messages", MaxBurst)
+	case p.Burst > 0 && p.Every < Duration(time.Millisecond):
+		return bad("every", "less than a millisecond between two bursts")
+	}
+	switch p.Shape {
+	case Constant:
+	case Ramp, Spike:
+		if !(p.To > 0) || p.To > MaxRate || p.Shape == Spike && p.To <= p.Rate {
+			return bad("to", "no rate that a %s from %g may end at", p.Shape, p.Rate)
+		}
+	case Step:
+		if !(p.To > 0) || p.To > MaxRate {
+			return bad("to", "no rate that steps from %g may end at", p.Rate)
+		}
+		if p.Steps < 2 || p.Steps > 1000 {
+			return bad("steps", "not within 2 and 1000")
+		}
+	case Wave:
+		if p.To < 0 || p.To > p.Rate {
+			return bad("to", "a wave goes up and down by at most its rate, %g", p.Rate)
+		}
+		if p.Period < Duration(time.Millisecond) {
+			return bad("period", "less than a millisecond")
+		}
+	default:
+		return bad("shape", "%q is none of constant, ramp, step, wave, spike", p.Shape)
+	}
+	return nil
+}
--- a/internal/standin/traffic/resp.go
+++ b/internal/standin/traffic/resp.go
@@ -22,10 +22,15 @@
 	return &RESP{c, bufio.NewReader(c)}, nil
 }
 
-// Put writes a request to take a message on; opts is as the front reads it.
-func (c *RESP) Put(id, opts string, body []byte) error {
-	b := make([]byte, 0, 128+len(id)+len(opts)+len(body))
-	b = fmt.Appendf(b, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n", len(id), id, len(opts), opts, len(body))
+// Put writes a request to take a message on; order is its order key, or "0" for
+// none, and opts is as the front reads it.
+func (c *RESP) Put(order, id, opts string, body []byte) error {
+	b := make([]byte, 0, 128+len(order)+len(id)+len(opts)+len(body))
+	b = append(b, "*5\r\n$7\r\nMSG.PUT\r\n"...)
+	for _, arg := range [...]string{order, id, opts} {
+		b = fmt.Appendf(b, "$%d\r\n%s\r\n", len(arg), arg)
+	}
+	b = fmt.Appendf(b, "$%d\r\n", len(body))
 	b = append(append(b, body...), "\r\n"...)
 	_, err := c.Write(b)
 	return err
--- a/internal/standin/traffic/traffic.go
+++ b/internal/standin/traffic/traffic.go
@@ -72,7 +72,7 @@
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(patience))
-	if c.Put(id, fmt.Sprintf("c=%s,k=%s,d=6000,dest=%s", class, id, to), []byte("body of "+id)) != nil {
+	if c.Put("0", id, fmt.Sprintf("c=%s,k=%s,d=6000,dest=%s", class, id, to), []byte("body of "+id)) != nil {
 		return ""
 	}
 	line, _ := c.Answer()
--- a/internal/store/open_test.go
+++ b/internal/store/open_test.go
@@ -47,6 +47,9 @@
 			}
 			return vfs.Dir(dir), "directory"
 		},
+		"a folder that is read-only": func(t *testing.T) (vfs.FS, string) {
+			return vfs.Dir("/sys"), "permission denied" // root too
+		},
 		"no folder": func(t *testing.T) (vfs.FS, string) {
 			return vfs.Dir(filepath.Join(t.TempDir(), "none")), "no such file"
 		},
