Compare repeated runs of load, and make a page of a run with its plots

Need: a difference between two runs is told only beyond what runs differ by themselves, and a tail is seen in a plot before it is read in a table.

--- a/cmd/cometload/main.go
+++ b/cmd/cometload/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strconv"
 	"syscall"
 	"time"
@@ -17,13 +18,14 @@
 
 	"cometrack/internal/load"
 	"cometrack/internal/load/drive"
+	"cometrack/internal/load/page"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "cometload", Short: "Load on a schedule that does not wait for replies", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), checkCommand())
+	root.AddCommand(runCommand(), checkCommand(), compareCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "cometload:", err)
 		os.Exit(1)
@@ -58,9 +60,51 @@
 		}}
 }
 
+func compareCommand() *cobra.Command {
+	return &cobra.Command{Use: "compare BEFORE AFTER", Short: "Compare runs: each argument is a report, or a pattern such as 'before-*.json'",
+		Args: cobra.ExactArgs(2), RunE: func(cmd *cobra.Command, args []string) error {
+			before, err := reports(args[0])
+			if err != nil {
+				return err
+			}
+			after, err := reports(args[1])
+			if err != nil {
+				return err
+			}
+			list, err := load.Compare(before, after)
+			if err != nil {
+				return err
+			}
+			return load.Table(cmd.OutOrStdout(), list)
+		}}
+}
+
+// reports reads the files that a pattern names.
+func reports(pattern string) (out []*load.Report, err error) {
+	names, err := filepath.Glob(pattern)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", pattern, err)
+	}
+	if len(names) == 0 {
+		return nil, fmt.Errorf("%s: no such file", pattern)
+	}
+	for _, name := range names {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		r := &load.Report{}
+		if err := json.Unmarshal(b, r); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
 func runCommand() *cobra.Command {
 	var opts drive.Options
-	var out string
+	var out, html string
 	var quiet bool
 	cmd := &cobra.Command{Use: "run SCENARIO.toml", Short: "Play a scenario against a running daemon", Args: cobra.ExactArgs(1)}
 	f := cmd.Flags()
@@ -70,6 +114,7 @@
 	f.DurationVar(&opts.Drain, "drain", 30*time.Second, "how long after the last message answers and ends are waited for")
 	f.StringVar(&opts.Run, "run", "", "begins the ids of this run; default: of the time")
 	f.StringVar(&out, "json", "", "write the report to this file too")
+	f.StringVar(&html, "html", "", "write a page with plots to this file too")
 	f.BoolVar(&quiet, "quiet", false, "no progress")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		var err error
@@ -105,6 +150,11 @@
 				return err
 			}
 		}
+		if html != "" {
+			if err := writePage(html, args[0], report); err != nil {
+				return err
+			}
+		}
 		switch {
 		case !report.Valid:
 			return errors.New("the run is not valid")
@@ -117,3 +167,11 @@
 	}
 	return cmd
 }
+
+func writePage(path, title string, r *load.Report) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(page.Write(f, title, r), f.Close())
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -28,7 +29,31 @@
 	Lateness Summary   `json:"lateness"`
 	Accepted []Summary `json:"accepted"`  // from due to acceptance
 	Ended    []Summary `json:"delivered"` // from due to delivery
-	Seconds1 []Window  `json:"windows"`   // by the second in which messages were due
+	Windows  []Window  `json:"windows"`   // by the second in which messages were due
+	Curves   []Curve   `json:"curves"`    // of all messages
+}
+
+// Curve is a histogram as points.
+type Curve struct {
+	Name   string  `json:"name"`
+	Points []Point `json:"points"`
+}
+
+// Point is the latency that so many percent do not pass.
+type Point struct {
+	Percent float64 `json:"percent"`
+	Micros  float64 `json:"us"`
+}
+
+// curveOf has points at even steps of the nines: as many between 90 and 99 percent as
+// between 99 and 99.9.
+func curveOf(name string, h *Hist) Curve {
+	c := Curve{Name: name}
+	for i := 0; i <= 50; i++ {
+		q := 100 * (1 - math.Pow(10, -float64(i)/10))
+		c.Points = append(c.Points, Point{q, float64(h.At(q)) / float64(time.Microsecond)})
+	}
+	return c
 }
 
 // Summary is a histogram in short.
@@ -73,8 +98,15 @@
 // Report puts together what a run has shown.
 func (s *Scenario) Report(r *Recorder, took time.Duration) *Report {
 	v := s.Judge(r)
-	return &Report{Format: 1, Valid: v.Valid, Reason: v.Reason, Seconds: took.Seconds(), Seed: s.Seed, Lateness: summary("all", "", r.Late),
-		Accepted: s.summaries(r.Accepted), Ended: s.summaries(r.Ended), Seconds1: r.Windows}
+	out := &Report{Format: 1, Valid: v.Valid, Reason: v.Reason, Seconds: took.Seconds(), Seed: s.Seed, Lateness: summary("all", "", r.Late),
+		Accepted: s.summaries(r.Accepted), Ended: s.summaries(r.Ended), Windows: r.Windows}
+	for name, m := range map[string]map[Key]*Hist{"accepted": r.Accepted, "delivered": r.Ended} {
+		if h := Sum(m, All, nil)[""]; h != nil {
+			out.Curves = append(out.Curves, curveOf(name, h))
+		}
+	}
+	slices.SortFunc(out.Curves, func(a, b Curve) int { return cmp.Compare(a.Name, b.Name) })
+	return out
 }
 
 // Text writes the report for people.
@@ -104,8 +136,8 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	if i := worst(r.Seconds1); i >= 0 {
-		x := r.Seconds1[i]
+	if i := worst(r.Windows); i >= 0 {
+		x := r.Windows[i]
 		fmt.Fprintf(out, "worst second: %d, %d due, %d accepted, %d refused, at most %d unanswered, longest wait %v\n",
 			i, x.Due, x.Accepted, x.Refused, x.InFlight, x.Worst.Round(10*time.Microsecond))
 	}
