--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -197,6 +197,18 @@
 	}
 }
 
+// What lasts longer than can be told is counted, over all workers.
+func TestLongerThanCanBeTold(t *testing.T) {
+	a, b := NewRecorder(), NewRecorder()
+	for _, r := range []*Recorder{a, b} {
+		r.Accept(Key{}, 0, time.Hour)
+	}
+	a.Merge(b)
+	if h := a.Accepted[Key{}]; h.Over != 2 || h.Count() != 2 || h.Max() < 10*time.Minute {
+		t.Errorf("%d over of %d, longest %v", h.Over, h.Count(), h.Max())
+	}
+}
+
 // A run is valid by the generator's own lateness alone.
 func TestJudge(t *testing.T) {
 	s, r := plain(Phase{For: Duration(time.Second), Rate: 10}), NewRecorder()
--- a/logic/memory_test.go
+++ b/logic/memory_test.go
@@ -116,6 +116,31 @@
 	}
 }
 
+// Of two destinations the one whose health has changed goes first, though the other's news are older; no more are
+// told than were asked for.
+func TestRememberTheSickFirst(t *testing.T) {
+	set := base()
+	set.Remember = true
+	r := newRig(t, set)
+	both := list(1)
+	both.Entries = append(both.Entries, Entry{Endpoint: 2, Dest: 10})
+	r.step(0, both)
+	well, sick := r.call(0), r.call(0)
+	sick.Dest = 10
+	r.step(1, well)
+	r.step(1.1, answer(well.ID, 1, 0, Completed))
+	r.step(12, sick)
+	r.step(12.1, answer(sick.ID, 2, 0, RefusedConn))
+	for _, want := range []int64{10, 9} {
+		if got := r.s.Remember(sec(13), 1); len(got) != 1 || got[0].Dest != want || got[0].Sick != (want == 10) {
+			t.Errorf("told %+v, want destination %d", got, want)
+		}
+	}
+	if got := r.s.Remember(sec(13), 1); len(got) != 0 {
+		t.Errorf("told again: %+v", got)
+	}
+}
+
 // Changes of health are told first and soon, others every ten seconds, each once, and nothing unless asked for.
 func TestRememberIsBounded(t *testing.T) {
 	for _, on := range []bool{true, false} {
