--- a/internal/load/drive/drive.go
+++ b/internal/load/drive/drive.go
@@ -83,7 +83,7 @@
 		if fronts[k.Front] != nil {
 			continue
 		}
-		w, err := r.open1(k.Front)
+		w, err := r.worker(k.Front)
 		if err != nil {
 			return nil, err
 		}
@@ -135,7 +135,7 @@
 	return nil
 }
 
-func (r *run) open1(front string) (worker, error) {
+func (r *run) worker(front string) (worker, error) {
 	if front == "http" {
 		return newHTTP(r), nil
 	}
@@ -220,7 +220,7 @@
 func (r *run) unended() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ledger.Close(func(int) bool { return false }).Open
+	return r.ledger.Open()
 }
 
 // verdict is what a front has answered.
--- a/internal/load/ledger.go
+++ b/internal/load/ledger.go
@@ -36,6 +36,7 @@
 // Ledger accounts for each message: accepted and ended once, refused, or unknown.
 type Ledger struct {
 	state  []byte
+	open   int // accepted and without an end
 	Faults []Fault
 	Found  int // faults in all
 }
@@ -67,6 +68,9 @@
 		l.fault(n, "answered twice")
 	case taken:
 		*s |= accepted
+		if *s&ended == 0 {
+			l.open++
+		}
 	case *s&ended != 0:
 		l.fault(n, "refused after its end")
 	default:
@@ -99,6 +103,9 @@
 		l.fault(n, "%s after it was refused", e)
 	case *s&ended == 0:
 		*s |= bits
+		if *s&accepted != 0 {
+			l.open--
+		}
 		return true
 	case *s&(ended|delivered|failed) != bits:
 		l.fault(n, "%s after another end", e)
@@ -106,6 +113,9 @@
 	return false
 }
 
+// Open is how many messages are accepted and have no end yet.
+func (l *Ledger) Open() int { return l.open }
+
 // Ran says whether a message may have run at a partner: not if it was refused or
 // returned.
 func (l *Ledger) Ran(n int) (may, must bool) {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -253,7 +253,11 @@
 	} {
 		l := &Ledger{}
 		x.do(l)
+		open := l.Open()
 		got := l.Close(func(int) bool { return true })
+		if open != got.Open {
+			t.Errorf("%s: %d are open, the account has %d", x.name, open, got.Open)
+		}
 		found := ""
 		if l.Found > 0 {
 			found = l.Faults[0].What
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -57,6 +57,11 @@
 		if err := s.remove(checkpointName); err != nil { // what is written from now on must not make it fit
 			return err
 		}
+		if s.opts.Sync != SyncNever {
+			if err := s.fs.SyncDir(); err != nil {
+				return err
+			}
+		}
 		s.checkpointed, s.since = 0, 1<<62 // a new one is due
 		if d, err = s.survey(); err != nil {
 			return err
