--- a/internal/demo/clients.go
+++ b/internal/demo/clients.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -15,6 +14,7 @@
 	"time"
 
 	"cometrack/internal/sink"
+	"cometrack/internal/standin/traffic"
 )
 
 // submitter hands a message in and says whether it was taken on.
@@ -91,9 +91,8 @@
 }
 
 type respConn struct {
-	net.Conn
-	r     *bufio.Reader
-	since time.Time
+	*traffic.RESP
+	since time.Time // when it was last used
 }
 
 // respIdle is how long a connection is kept: the front closes it after 4 s.
@@ -114,11 +113,11 @@
 		}
 		conn.Close()
 	}
-	conn, err := net.DialTimeout("tcp", c.addr, 5*time.Second)
+	conn, err := traffic.DialRESP(c.addr)
 	if err != nil {
 		return nil, err
 	}
-	return &respConn{Conn: conn, r: bufio.NewReader(conn)}, nil
+	return &respConn{RESP: conn}, nil
 }
 
 func (c *respClient) submit(_ context.Context, id, partner, class, body string) (bool, error) {
@@ -127,18 +126,12 @@
 		return false, err
 	}
 	opts := fmt.Sprintf("c=%s,d=%d,k=%s,dest=%s", class, deadline.Milliseconds(), id, partner)
-	var b strings.Builder
-	args := []string{"MSG.PUT", "0", id, opts, body}
-	fmt.Fprintf(&b, "*%d\r\n", len(args))
-	for _, a := range args {
-		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(a), a)
-	}
 	conn.SetDeadline(time.Now().Add(10 * time.Second))
-	if _, err := io.WriteString(conn, b.String()); err != nil {
-		conn.Close()
-		return false, err
+	err = conn.Put("0", id, opts, []byte(body))
+	line := ""
+	if err == nil {
+		line, err = conn.Answer()
 	}
-	line, err := conn.r.ReadString('\n')
 	if err != nil {
 		conn.Close()
 		return false, err
@@ -153,7 +146,7 @@
 	case strings.HasPrefix(line, "-BUSY"):
 		return false, nil
 	}
-	return false, errors.New(strings.TrimSpace(line))
+	return false, errors.New(line)
 }
 
 // follow reads the stream of ends until ctx is over. ready is closed once it flows.
