--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -44,7 +45,12 @@
 	hup := make(chan os.Signal, 1) // from the first line on: SIGHUP must not end the process
 	signal.Notify(hup, syscall.SIGHUP)
 	if len(os.Args) == 1 && os.Getenv("BALANCER_CONFIG") != "" {
-		log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+		var level slog.Level // info unless COMETRACK_LOG says otherwise: debug adds a line for each call
+		badLevel := level.UnmarshalText([]byte(cmp.Or(os.Getenv("COMETRACK_LOG"), "info")))
+		log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+		if badLevel != nil {
+			log.Warn("COMETRACK_LOG", "err", badLevel)
+		}
 		if err := platform(log, hup); err != nil {
 			log.Error("cometrack", "err", err)
 			os.Exit(exitError)
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -67,6 +67,7 @@
 		out.WriteBy = time.UnixMicro(e.FirstMay).Add(span(class.Window))
 	}
 	h.attempt, out.left = out, h.left
+	c.traceCall(out)
 	return out
 }
 
@@ -167,6 +168,7 @@
 		h.stop()
 		h.stop, h.attempt = nil, nil
 	}
+	c.traceReply(ev)
 	r := ev.result
 	if r.Wait > 0 {
 		c.holdWait(ev.attempt.Endpoint)
@@ -200,6 +202,7 @@
 	} else {
 		c.records = append(c.records, journal.Record{Op: journal.OpDone, ID: id, At: now})
 	}
+	c.traceEnd(id, h, message.Delivered)
 	c.finish(id, h)
 }
 
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -140,6 +140,9 @@
 		}
 	case logic.Refuse, logic.Fail:
 		end := c.endOf(a, now)
+		if h := c.held[end.ID]; h != nil && !h.over {
+			c.traceEnd(end.ID, h, end.State)
+		}
 		if _, told := answers[end.ID]; told {
 			c.drop(end.ID)
 			return
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -86,7 +86,9 @@
 	}
 	c.puts = append(c.puts, ev)
 	c.fresh[m.ID] = m
-	c.next = append(c.next, c.callOf(m, now))
+	call := c.callOf(m, now)
+	c.traceTaken(call, m.Partner, m.Class)
+	c.next = append(c.next, call)
 }
 
 // answers finds the messages that the module ends in the step in which they came:
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -36,6 +36,10 @@
 // NewPlatform makes a sender and replays its journal.
 func NewPlatform(cfg *config.Platform, log *slog.Logger) (*Platform, error) {
 	set := cfg.Deploy.Settings
+	log.Debug("settings", "set", set)
+	for _, x := range cfg.Known.Instances {
+		log.Debug("known", "ep", x.ID, "partner", x.Dest, "kind", x.Kind, "zone", x.Zone, "weight", x.Weight)
+	}
 	kept, err := journal.Open(cfg.StateDir, journal.Options{Disk: int64(cfg.Limits.DiskMB * 1e6), MostEnded: mostEnded,
 		Sync: store.SyncNever, Log: log}) // what is written outlasts the process there, and the machine is not to be outlasted
 	if err != nil {
--- a/logic/types.go
+++ b/logic/types.go
@@ -208,6 +208,15 @@
 	Spoilt                     // answered with what can't be read: it may have run, and the endpoint is there
 )
 
+var outcomes = [...]string{"completed", "errored", "full", "overdue", "refused connection", "severed", "recalled", "moot", "spoilt"}
+
+func (o Outcome) String() string {
+	if o >= 0 && int(o) < len(outcomes) {
+		return outcomes[o]
+	}
+	return "unknown"
+}
+
 // Reply is the one outcome of an attempt.
 type Reply struct {
 	ID       string
