Pace thin lanes at their even share; let refused messages wait instead of failing

Ruled out: shut partners (one only), resends, connections. At fault: again() in outcomes.go, which failed what a kind turned away a fifth of, and refused()/floor()/creep() in gate.go, which rested 8 s on average, then let all go free at once. Now a sender takes three times its even share of a told limit at most; where that share is under a call a second the first refusal leaves the share, each further one 0.6 of that. A thin lane has its first call free at the start. again(), turned and meanWorth go.

--- a/logic/gate.go
+++ b/logic/gate.go
@@ -2,7 +2,10 @@
 
 // Whether and when a message may go to an endpoint: rules, health, budgets, paces. Values are in logic.go.
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // ---- Rules gate ----------------------------------------------------------------------
 
@@ -177,7 +180,7 @@
 		if s.set.Weights == WeightsRough && !l.told {
 			lim *= 1.5
 		}
-		if r == 0 || r > lim {
+		if lim = min(lim, shareMost*lim/float64(s.set.Senders)); r == 0 || r > lim {
 			r = lim
 		}
 	}
@@ -193,17 +196,21 @@
 }
 
 // refused slows a lane down: the pace starts at the last second's rate and is halved at most once a second.
+// A lane on which an even share of the limit is less than the floor is thin: there each sender is refused so
+// rarely that the share itself is where a pace starts.
 func (s *Sender) refused(l *lane) {
 	if s.now < l.halved+paceSpan && l.pace > 0 {
 		return
 	}
-	switch f := s.floor(l); {
-	case s.many && f < paceFloor && l.until <= s.now: // many: rest, or all that come keep the limit used up
-		l.pace = max(f, 1/seconds(shyMost))
-	case s.many && f < paceFloor || l.pace == 0:
-		l.pace = max(f, float64(since(l.sent, s.now-paceSpan)))
+	switch share := s.share(l); {
+	case share < paceFloor && (l.pace == 0 || l.pace > share):
+		l.pace = share
+	case share < paceFloor:
+		l.pace = max(shareDown*l.pace, shareLow*share)
+	case l.pace == 0:
+		l.pace = max(paceFloor, float64(since(l.sent, s.now-paceSpan)))
 	default:
-		l.pace = max(f, l.pace/2)
+		l.pace = max(paceFloor, l.pace/2)
 	}
 	l.halved = s.now
 	s.paced(l)
@@ -214,21 +221,22 @@
 	}
 }
 
-// floor is one call a second, but no more than an even share of a limit that is told: with many senders at a
-// destination that counts refused calls, floors alone would use the limit up.
-func (s *Sender) floor(l *lane) float64 {
+// share is an even part of a limit that is told; without one there is no bound to it.
+func (s *Sender) share(l *lane) float64 {
 	if l.limit > 0 {
-		return min(paceFloor, l.limit/float64(s.set.Senders))
+		return l.limit / float64(s.set.Senders)
 	}
-	return paceFloor
+	return math.Inf(1)
 }
 
 func (s *Sender) creep(l *lane) {
 	if l.pace == 0 {
 		return
 	}
-	l.pace += paceCreep * max(l.pace, l.limit/float64(s.set.Senders))
-	if s.many && s.floor(l) < paceFloor || l.pace > paceFree*float64(since(l.sent, s.now-paceSpan)+1) {
+	share := s.share(l)
+	l.pace += paceCreep * max(l.pace, min(share, l.limit))
+	if l.pace > shareMost*share ||
+		share >= paceFloor && l.pace > paceFree*float64(since(l.sent, s.now-paceSpan)+1) {
 		l.pace = 0
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,9 @@
 	paceSave  = Second / 2 // ours: what an idle pace saves up; more of it meets limits in bursts
 	paceCreep = 0.1        // ours: growth of the pace with each success
 	paceFree  = 4.0        // ours: a pace this many times what is sent sets nothing any more and is dropped
+	shareMost = 3.0        // ours: of a told limit, a sender takes so many times its even share at most
+	shareDown = 0.6        // ours: factor on a thin lane's pace with a refusal
+	shareLow  = 0.1        // ours: and the least part of its share that this leaves
 
 	badAlpha    = 0.3          // ours: weight of the newest outcome in an endpoint's share of failures
 	badShare    = 0.45         // ours: failing more than this is an outage
@@ -50,9 +53,6 @@
 	slowTimes   = 3.0          // ours: an endpoint this much slower than its best sibling is passed over
 	slowProbe   = 4 * Second   // ours: but tried again after this
 	reuse       = 5 * Second   // ours: an endpoint called less often than this shares its connections
-	turnAlpha   = 0.05         // ours: weight of the newest call in a kind's share of calls turned away
-	turnShare   = 0.2          // ours: share above which a refused message of mean worth is not tried again
-	restPart    = 0.1          // ours: least mean part of its time left that a refused message rests
 	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
 	resetsDown  = 3            // ours: connections that break in a row, no answer between, look like an outage
@@ -85,7 +85,7 @@
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: math.MinInt64, askAt: never,
 		askGap: askGap, newsAt: never,
 		eps: map[EndpointID]*endpoint{}, dests: map[int64]*dest{}, msgs: map[string]*msg{},
-		keys: map[string]*keyLine{}, turned: map[int]float64{}}
+		keys: map[string]*keyLine{}}
 	if set.OnRequest {
 		s.askAt = math.MinInt64
 	}
@@ -161,6 +161,9 @@
 	}
 	e.zone, e.state = row.Zone, row.State
 	if s.set.Weights != WeightsOff && row.Nominal > 0 && !e.lane.told {
+		if e.lane.limit == 0 && row.Nominal < paceFloor*float64(s.set.Senders) {
+			e.lane.tokens, e.lane.filled = 1, s.now // thin: one call at the start, not after a span
+		}
 		e.lane.limit = row.Nominal
 	}
 }
--- a/logic/memory.go
+++ b/logic/memory.go
@@ -219,7 +219,7 @@
 		l.limit, l.told = m.Limit, true
 	}
 	if m.Pace > 0 && !math.IsInf(m.Pace, 0) {
-		l.pace, l.halved, l.filled = m.Pace, s.then(m.Halved, age), s.now
+		l.pace, l.halved, l.filled, l.tokens = m.Pace, s.then(m.Halved, age), s.now, 0
 	}
 	if m.Peak > 0 && !math.IsInf(m.Peak, 0) {
 		l.peak = m.Peak
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -170,11 +170,6 @@
 	}
 	a, e := m.out, m.out.ep
 	lastOfCall := s.landed(a)
-	x := s.turned[e.dest.kind] * (1 - turnAlpha)
-	if r.Outcome == Full {
-		x += turnAlpha
-	}
-	s.turned[e.dest.kind] = x
 	s.report(e, r.Load)
 	s.note(e.dest, false)
 	if r.Wait > 0 { // an answer to several messages may tell one beside those that were delivered
@@ -207,9 +202,6 @@
 		if lastOfCall { // a batch is one call: one refusal
 			s.full(e, r.Wait)
 		}
-		if s.many && s.floor(e.lane) < paceFloor && !r.NoMore && !m.over {
-			s.again(m, e)
-		}
 	case Recalled, Overdue:
 		if a.cut {
 			if !a.late {
@@ -253,20 +245,6 @@
 	s.endIfStuck(m)
 }
 
-// again decides on a refused message where the floors of all senders add up past the limit. Calls tried
-// again, by clients too, use up limits that count refusals. While the kind turns few away, a message rests
-// for a part of its time left, so that clumps spread; with more, only the worthier do.
-func (s *Sender) again(m *msg, e *endpoint) {
-	x := s.turned[e.dest.kind]
-	if x > turnShare*m.class.Worth/s.meanWorth {
-		s.do(Fail{ID: m.id})
-		s.close(m)
-		return
-	}
-	part := (restPart + x) * (0.5 + s.rng.Float64())
-	m.rest = max(s.now, e.lane.until) + Micros(part*float64(m.deadline-s.now))
-}
-
 // succeeded notes an answer to what was sent at a time. One sent before the last failure tells nothing of a
 // return: else a call that was under way when a destination shut would end the watch before it opens.
 func (s *Sender) succeeded(e *endpoint, sent Micros) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -134,35 +134,33 @@
 
 // Sender decides for one sender. Make it with New.
 type Sender struct {
-	set       Settings
-	rng       *rand.Rand
-	now       Micros
-	step      int
-	out       []Action
-	eps       map[EndpointID]*endpoint
-	dests     map[int64]*dest
-	order     []*dest     // dests, in the order in which they became known
-	gone      []*endpoint // off the list, not yet forgotten
-	forgetAt  Micros
-	msgs      map[string]*msg
-	held      []*msg // messages not over, in order of arrival
-	flying    []*attempt
-	busy      int // slots in use
-	seq       int
-	byClass   []hist
-	usage     []usage // by tenant
-	keys      map[string]*keyLine
-	wake      Micros // when something is next to be done
-	timer     Micros // when the last timer set goes off; 0 if none is out
-	askAt     Micros // when to ask for the list; never if asked
-	askGap    Micros
-	closeAt   Micros // when this sender stops; 0 if it does not
-	logs      int
-	many      bool            // senders
-	turned    map[int]float64 // by kind, share of calls turned away
-	meanWorth float64         // of messages that came
-	news      []*dest         // to be remembered
-	newsAt    Micros          // when the next of them is due
+	set      Settings
+	rng      *rand.Rand
+	now      Micros
+	step     int
+	out      []Action
+	eps      map[EndpointID]*endpoint
+	dests    map[int64]*dest
+	order    []*dest     // dests, in the order in which they became known
+	gone     []*endpoint // off the list, not yet forgotten
+	forgetAt Micros
+	msgs     map[string]*msg
+	held     []*msg // messages not over, in order of arrival
+	flying   []*attempt
+	busy     int // slots in use
+	seq      int
+	byClass  []hist
+	usage    []usage // by tenant
+	keys     map[string]*keyLine
+	wake     Micros // when something is next to be done
+	timer    Micros // when the last timer set goes off; 0 if none is out
+	askAt    Micros // when to ask for the list; never if asked
+	askGap   Micros
+	closeAt  Micros // when this sender stops; 0 if it does not
+	logs     int
+	many     bool    // senders
+	news     []*dest // to be remembered
+	newsAt   Micros  // when the next of them is due
 }
 
 // hist is a discounted latency histogram.
@@ -385,7 +383,6 @@
 		deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline)}
 	s.ageOut(m.dest)
 	m.dest.came++
-	s.meanWorth += (class.Worth - s.meanWorth) / float64(min(s.seq, 50))
 	m.share = s.shareOf(c.Tenant)
 	s.msgs[m.id] = m
 	s.held = append(s.held, m)
--- a/logic/types.go
+++ b/logic/types.go
@@ -208,7 +208,8 @@
 	Spoilt                     // answered with what can't be read: it may have run, and the endpoint is there
 )
 
-var outcomes = [...]string{"completed", "errored", "full", "overdue", "refused connection", "severed", "recalled", "moot", "spoilt"}
+var outcomes = [...]string{"completed", "errored", "full", "overdue", "refused connection", "severed",
+	"recalled", "moot", "spoilt"}
 
 func (o Outcome) String() string {
 	if o >= 0 && int(o) < len(outcomes) {
