Bound thin lanes by 1.5 shares, weigh routes by limit, and keep a burst from raising its own budget

Now: first sends follow the routes' limits; a refusal on one route ends the free pace of its siblings; 1.5 shares at most, 0.8 after the first refusal, 0.5 of the pace with each further one, and 0.4 of what is missing comes back with a success; what is late counts 0.4.

--- a/logic/gate.go
+++ b/logic/gate.go
@@ -203,8 +203,8 @@
 		return
 	}
 	switch share := s.share(l); {
-	case share < paceFloor && (l.pace == 0 || l.pace > share):
-		l.pace = share
+	case share < paceFloor && (l.pace == 0 || l.pace > shareFull*share):
+		l.pace = shareFull * share
 	case share < paceFloor:
 		l.pace = max(shareDown*l.pace, shareLow*share)
 	case l.pace == 0:
@@ -234,7 +234,14 @@
 		return
 	}
 	share := s.share(l)
-	l.pace += paceCreep * max(l.pace, min(share, l.limit))
+	switch {
+	case share >= paceFloor:
+		l.pace += paceCreep * max(l.pace, min(share, l.limit))
+	case l.pace < share: // back to what is ours, the slower the nearer
+		l.pace += shareBack*(share-l.pace) + shareOver*share
+	default:
+		l.pace += shareOver * share
+	}
 	if l.pace > shareMost*share ||
 		share >= paceFloor && l.pace > paceFree*float64(since(l.sent, s.now-paceSpan)+1) {
 		l.pace = 0
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,8 +32,11 @@
 	paceSave  = Second / 2 // ours: what an idle pace saves up; more of it meets limits in bursts
 	paceCreep = 0.1        // ours: growth of the pace with each success
 	paceFree  = 4.0        // ours: a pace this many times what is sent sets nothing any more and is dropped
-	shareMost = 3.0        // ours: of a told limit, a sender takes so many times its even share at most
-	shareDown = 0.6        // ours: factor on a thin lane's pace with a refusal
+	shareMost = 1.5        // ours: of a told limit, a sender takes so many times its even share at most
+	shareFull = 0.8        // ours: the part of its share that the first refusal leaves a thin lane ...
+	shareDown = 0.5        // ours: ... and the factor of each further one
+	shareBack = 0.4        // ours: part of what is missing to the share that a success gives back
+	shareOver = 0.02       // ours: part of the share that it adds past that
 	shareLow  = 0.1        // ours: and the least part of its share that this leaves
 
 	badAlpha    = 0.3          // ours: weight of the newest outcome in an endpoint's share of failures
@@ -65,6 +68,7 @@
 
 	quotaHalf = 5 * Second // ours: half-life of a tenant's rate
 	lossAhead = Second     // ours: loss of worth within this sets who goes first
+	lateLess  = 0.4        // ours: weight of what is late already, beside what can be in time still
 	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
 	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
 	askGap    = Second     // ours: first pause before the list is asked for again
@@ -198,6 +202,9 @@
 	u := max(s.usual(m), 10_000)
 	soon := s.value(m, s.now+u)
 	loss := soon - s.value(m, s.now+u+lossAhead)
+	if s.value(m, s.now) < m.class.Worth {
+		loss *= lateLess
+	}
 	return m.share * (loss + 0.02*soon) / (float64(u) * float64(1+m.dest.lane.inflight))
 }
 
@@ -290,7 +297,7 @@
 		if e.slow > slowTimes*best && s.now < e.lastSent+slowProbe {
 			r += 2
 		}
-		if r < rank {
+		if r < rank || r == rank && e.lane != d.lane && e.due+e.lane.limit > pick.due+pick.lane.limit+1e-9 {
 			rank, pick = r, e
 		}
 	}
@@ -300,6 +307,14 @@
 	if m.tries == 0 && rank > 0 {
 		d.next = (slices.Index(d.eps, pick) + 1) % len(d.eps)
 	}
+	if pick.lane != d.lane {
+		sum := 0.0
+		for _, e := range d.eps {
+			sum += e.lane.limit
+			e.due += e.lane.limit
+		}
+		pick.due -= sum
+	}
 	s.launch(m, pick)
 	return true
 }
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -167,9 +167,9 @@
 	if l.pace != 2 {
 		t.Errorf("pace %v under a limit of 20 for two senders, want 2", l.pace)
 	}
-	// Thin: the even share is under a call a second. The first refusal leaves the share, further ones go under it.
+	// Thin: the even share is under a call a second. The first refusal leaves most of it, further ones less.
 	l = &lane{limit: 1}
-	for i, want := range []float64{0.5, 0.3, 0.18, 0.108, 0.0648, 0.05, 0.05} {
+	for i, want := range []float64{0.4, 0.2, 0.1, 0.05, 0.05} {
 		r.s.now = sec(20 + float64(i))
 		if r.s.refused(l); math.Abs(l.pace-want) > 1e-9 {
 			t.Errorf("thin lane, refusal %d: pace %v, want %v", i+1, l.pace, want)
@@ -196,8 +196,8 @@
 	}
 	r.s.dests[9].lane.filled = 0
 	r.step(5)
-	if n := len(only[CallOut](r.step(5, calls...))); n != 2 {
-		t.Errorf("%d sends of a clump at once under a limit of 4 a second, want half a second of it", n)
+	if n := len(only[CallOut](r.step(5, calls...))); n != 1 {
+		t.Errorf("%d sends of a clump at once under a limit of 4 a second, want half a second of its share", n)
 	}
 }
 
@@ -637,8 +637,8 @@
 				}
 			}
 		}
-		if soonest < 2.9 || latest > 4.3 || latest-soonest < 0.7 {
-			t.Errorf("class %d: tried again between %.2f and %.2f s; want once to one and a half times 2 s later", class, soonest, latest)
+		if soonest < 3.5 || latest > 5 || latest-soonest < 0.9 {
+			t.Errorf("class %d: tried again between %.2f and %.2f s; want once to one and a half times 2.5 s later", class, soonest, latest)
 		}
 	}
 }
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -283,6 +283,11 @@
 // Many senders come too rarely to tell by four: those that were refused twice would topple what opens again.
 func (s *Sender) full(e *endpoint, wait Micros) {
 	s.refused(e.lane)
+	for _, x := range e.dest.eps { // routes apart take their parts of the same traffic
+		if share := s.share(x.lane); share < paceFloor && x.lane.pace == 0 {
+			x.lane.pace = share
+		}
+	}
 	e.fulls++
 	l := e.lane
 	if l.fulls++; l.fulls == 1 {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -34,7 +34,7 @@
 func TestRulesUnderRandomOutcomes(t *testing.T) {
 	for name, set := range variants() {
 		t.Run(name, func(t *testing.T) {
-			for seed := uint64(1); seed <= 3; seed++ {
+			for seed := uint64(1); seed <= 20; seed++ {
 				newWorld(t, set, seed).play()
 			}
 		})
--- a/logic/state.go
+++ b/logic/state.go
@@ -64,6 +64,7 @@
 	trialAt, trialGap Micros
 	inflight          int
 	slow              float64 // smoothed latency, microseconds
+	due               float64 // routes apart: behind its part of the calls, by limits
 	lastSent          Micros
 	warm              Micros // an idle connection lasts until then
 	open              *call
@@ -333,7 +334,11 @@
 	l := e.lane
 	keep := s.now - max(s.set.FallWindow, Second) - 1
 	e.sent, l.sent = append(trim(e.sent, keep), s.now), append(trim(l.sent, keep), s.now)
-	l.peak = max(l.peak, float64(since(l.sent, s.now-Second)))
+	// What goes to a lane that is cold shows nothing of what it takes: the budget rests on the peak, and would
+	// rise with each call that it lets through.
+	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool { return x.cold && x.lane == l }) {
+		l.peak = max(l.peak, float64(since(l.sent, s.now-Second)))
+	}
 }
 
 // fly books an attempt of m at e.
