Give rarely used connections back after a second among many senders; ask for lists with jitter

An endpoint's places for connections were full of idle ones. Ruled out: limits (150 a second told, 55 called). At fault: connections dearer than 0.04 were never given back, others only when used less often than every 5 s. The pause before the list is asked for again is drawn from half to one and a half times, so that a fleet does not ask in step.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,8 +55,8 @@
 	idleAge     = 4 * halfLife // ours: state of a destination without traffic is dropped after this
 	slowTimes   = 3.0          // ours: an endpoint this much slower than its best sibling is passed over
 	slowProbe   = 4 * Second   // ours: but tried again after this
-	reuse       = 5 * Second   // ours: an endpoint called less often than this shares its connections
-	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
+	reuse       = Second       // ours: an endpoint called less often than this shares its connections
+	dearConn    = 0.05         // ours: price of a connection with each message above which none is given back
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
 	resetsDown  = 3            // ours: connections that break in a row, no answer between, look like an outage
 	lately      = Second       // ours: one refused connection does not, if an answer came so shortly before
@@ -119,8 +119,8 @@
 
 func (s *Sender) list(ev Endpoints) {
 	if ev.Form == ListFailed {
-		// Asked in vain or subscription broken: ask again, later each time.
-		s.askAt = s.now + s.askGap
+		// Asked in vain or subscription broken: ask again, later each time, and not when all others do.
+		s.askAt = s.now + Micros((0.5+s.rng.Float64())*float64(s.askGap))
 		s.askGap = min(2*s.askGap, askMost)
 		return
 	}
