--- a/cmd/measure/fleet.go
+++ b/cmd/measure/fleet.go
@@ -59,8 +59,6 @@
 	ends                         map[string]int
 	age                          []float64 // of deliveries, seconds
 	senders                      map[string]bool
-	out, back                    int // senders that took an endpoint for out, and for back
-	waiting                      int
 }
 
 type fleetCount struct {
