--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -1,10 +1,10 @@
 package logic
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -22,12 +22,10 @@
 	rnd     *rand.Rand
 	senders []*Sender
 	tries   []map[string]int
-	queue   fleetQueue
-	level   float64 // of the meter
+	queue   []fleetEvent // by time
+	level   float64      // of the meter
 	levelAt float64
 	calls   []fleetCall
-	ended   map[string]int
-	nextID  int
 }
 
 type fleetCall struct {
@@ -39,26 +37,10 @@
 	at  float64
 	who int
 	ev  Event
-	seq int
-}
-
-type fleetQueue []fleetEvent
-
-func (q fleetQueue) Len() int { return len(q) }
-func (q fleetQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q fleetQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *fleetQueue) Push(x any)   { *q = append(*q, x.(fleetEvent)) }
-func (q *fleetQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
 }
 
 func newFleet(n int, limit, demand float64) *fleet {
-	f := &fleet{n: n, limit: limit, demand: demand, rnd: rand.New(rand.NewPCG(uint64(n), 1)), ended: map[string]int{},
+	f := &fleet{n: n, limit: limit, demand: demand, rnd: rand.New(rand.NewPCG(uint64(n), 1)),
 		real: func(float64) float64 { return limit }, refuse: func(float64) Outcome { return Completed }}
 	for i := range n {
 		set := base()
@@ -76,19 +58,23 @@
 }
 
 func (f *fleet) add(at float64, who int, ev Event) {
-	f.nextID++
-	heap.Push(&f.queue, fleetEvent{at, who, ev, f.nextID})
+	i, _ := slices.BinarySearchFunc(f.queue, at, func(e fleetEvent, at float64) int {
+		if e.at <= at {
+			return -1
+		}
+		return 1
+	})
+	f.queue = slices.Insert(f.queue, i, fleetEvent{at, who, ev})
 }
 
 // run plays the fleet for so many seconds.
 func (f *fleet) run(span float64) *fleet {
 	for at := 0.0; at < span; at += f.rnd.ExpFloat64() / f.demand {
-		f.nextID++
-		f.add(at, f.rnd.IntN(f.n), Call{ID: fmt.Sprint(f.nextID), Left: 10 * Second, Dest: 9, Tenant: -1, Class: 0})
+		f.add(at, f.rnd.IntN(f.n), Call{ID: fmt.Sprint(at), Left: 10 * Second, Dest: 9, Tenant: -1, Class: 0})
 	}
 	for len(f.queue) > 0 {
-		e := heap.Pop(&f.queue).(fleetEvent)
-		if e.at > span {
+		e := f.queue[0]
+		if f.queue = f.queue[1:]; e.at > span {
 			break
 		}
 		for _, a := range f.senders[e.who].Step(sec(e.at), []Event{e.ev}) {
@@ -97,10 +83,6 @@
 				f.call(e.at, e.who, a)
 			case SetTimer:
 				f.add(e.at+seconds(a.Wait), e.who, Due{a.Token})
-			case Refuse:
-				f.ended["returned"]++
-			case Fail:
-				f.ended["failed"]++
 			}
 		}
 	}
@@ -145,6 +127,14 @@
 
 var fleetSizes = []int{1, 3, 20, 80, 200}
 
+// atLeast is looser for the few whose lanes are not thin: their paces leave more of such a limit unused.
+func atLeast(n int, few, many float64) float64 {
+	if n < 20 {
+		return few
+	}
+	return many
+}
+
 // More comes than a partner takes, for good: the sum of all paces has to stay about its limit.
 func TestFleetOverLimit(t *testing.T) {
 	const limit = 50.0
@@ -154,7 +144,7 @@
 		f.run(40)
 		calls, taken := f.count(10, 40)
 		t.Logf("%3d senders: %.2f of the limit called, %.2f taken", n, calls/30/limit, taken/30/limit)
-		if taken/30 < 0.6*limit || calls/30 > 1.15*limit {
+		if taken/30 < atLeast(n, 0.6, 0.7)*limit || calls/30 > 1.05*limit {
 			t.Errorf("%d senders: %.1f of %.1f calls a second taken under a limit of %.0f", n, taken/30, calls/30, limit)
 		}
 	}
@@ -178,7 +168,7 @@
 		_, after := f.count(37, 47)
 		t.Logf("%3d senders: of the low limit %.2f called in 3 s, %.2f after 8 s, %.2f taken; %.2f of the limit 12 s after", n,
 			early/3/limit*2, low/7/limit*2, taken/7/limit*2, after/10/limit)
-		if low/7 > 1.5*limit/2 {
+		if low/7 > 1.1*limit/2 {
 			t.Errorf("%d senders: %.1f calls a second 8 s after the limit fell to %.0f", n, low/7, limit/2)
 		}
 		if after/10 < 0.6*limit {
@@ -214,15 +204,155 @@
 			_, full := f.count(35, 45)
 			t.Logf("%v, %3d senders: %.2f trials a second while out, at most %.2f times capacity (%.1f s after), %.2f of the limit taken at last",
 				how, n, trials/5, worst, at, full/10/limit)
-			if worst > 1.1*set.FallMultiple { // the rule leaves some room for chance
+			if worst > atLeast(n, 1.1, 0.9)*set.FallMultiple { // the rule leaves some room for chance
 				t.Errorf("%v, %d senders: %.2f times the capacity of what returns", how, n, worst)
 			}
-			if trials/5 > limit {
+			if trials/5 > 0.75*limit {
 				t.Errorf("%v, %d senders: %.1f calls a second to a partner that is out", how, n, trials/5)
 			}
-			if full/10 < 0.4*limit {
+			if full/10 < atLeast(n, 0.4, 0.6)*limit {
 				t.Errorf("%v, %d senders: %.1f taken a second 15 s after the return", how, n, full/10)
 			}
 		}
 	}
 }
+
+// crowdOf makes a sender among many at one destination with a told rate.
+func crowdOf(t *testing.T, senders int, rate float64, seed uint64) *rig {
+	t.Helper()
+	set := base()
+	set.Senders, set.Weights = senders, WeightsNominal
+	s, err := New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, s: s}
+	ev := list(1)
+	ev.Entries[0].Nominal = rate
+	r.step(0, ev)
+	return r
+}
+
+// Found on big-1: three hundred senders, each with one call in four windows, topple what comes back. Their budgets
+// must add up to what it bears, and not fall together.
+func TestBudgetsOfManySendersAddUp(t *testing.T) {
+	const senders, rate = 300, 10.0
+	calls := make([]int, 30) // by second after the outage was seen
+	for i := range senders {
+		r := crowdOf(t, senders, rate, uint64(i))
+		seen := 1 + 5*float64(i)/senders // they see the outage one after the other
+		c := only[CallOut](r.step(seen, r.call(0)))[0]
+		r.step(seen+0.01, answer(c.ID, 1, 0, RefusedConn), r.call(1))
+		for at := seen + 0.1; at < 30; at += 0.1 {
+			for _, x := range only[CallOut](r.step(at, Due{})) {
+				calls[int(at)]++
+				r.step(at+0.01, answer(x.ID, 1, r.s.msgs[x.ID].tries-1, RefusedConn))
+			}
+		}
+	}
+	set := base()
+	window := int(set.FallWindow / Second)
+	for at := 6; at+window <= 20; at++ {
+		sum := 0
+		for _, n := range calls[at : at+window] {
+			sum += n
+		}
+		// Sixty senders a second see it, six times the rate: what adds up is held to that.
+		if most := set.FallMultiple * set.ColdFrom * 60 * 1.5 * float64(window); float64(sum) > most {
+			t.Errorf("second %d: %d calls in a fall window, want at most %.0f", at, sum, most)
+		}
+		if sum > 0 && slices.Max(calls[at:at+window]) == sum && sum > 20 {
+			t.Errorf("second %d: all %d calls at one time", at, sum)
+		}
+	}
+}
+
+// At a limit that counts refusals, calls tried again at once keep it used up. A refused message is neither ended nor
+// sent at once: it waits for its lane's share, each sender's at a time of its own.
+func TestRefusedMessagesRestAmongManySenders(t *testing.T) {
+	for class := range base().Classes {
+		soonest, latest := 60.0, 0.0
+		for i := range 40 {
+			r := crowdOf(t, 100, 50, uint64(i))
+			c := only[CallOut](r.step(1, r.call(class)))[0]
+			if acts := r.step(1.1, answer(c.ID, 1, 0, Full)); len(only[Fail](acts))+len(only[Refuse](acts)) > 0 {
+				t.Fatalf("class %d: ended by one refusal", class)
+			}
+			for at := 1.2; at < 13; at += 0.05 {
+				if len(only[CallOut](r.step(at, Due{}))) > 0 {
+					soonest, latest = min(soonest, at), max(latest, at)
+					break
+				}
+			}
+		}
+		if soonest < 3.5 || latest > 5 || latest-soonest < 0.9 {
+			t.Errorf("class %d: tried again between %.2f and %.2f s; want once to one and a half times 2.5 s later", class, soonest, latest)
+		}
+	}
+}
+
+// Routes apart get first sends by their limits, and a refusal on one ends the free pace of the others.
+func TestRoutesAreCalledByTheirLimits(t *testing.T) {
+	set := base()
+	set.Senders, set.Weights, set.Slots, set.Kinds[0].Apart = 1, WeightsNominal, 99, true
+	r := newRig(t, set)
+	ev := list(3)
+	for i, rate := range []float64{100, 30, 20} {
+		ev.Entries[i].Nominal = rate
+	}
+	r.step(0, ev)
+	got := map[EndpointID]int{}
+	for i := range 150 {
+		c := only[CallOut](r.step(1+float64(i)/20, r.call(0)))[0]
+		got[c.Endpoint]++
+		r.step(1.01+float64(i)/20, answer(c.ID, c.Endpoint, 0, Completed))
+	}
+	if got[1] != 100 || got[2] != 30 || got[3] != 20 {
+		t.Errorf("calls by route %v, want 100, 30 and 20", got)
+	}
+	r.s.set.Senders = 1000
+	c := only[CallOut](r.step(20, r.call(0)))[0]
+	r.step(20.1, answer(c.ID, c.Endpoint, 0, Full))
+	for _, e := range r.s.eps {
+		if e.lane.pace == 0 {
+			t.Errorf("route %d is free after a refusal on %d", e.id, c.Endpoint)
+		}
+	}
+}
+
+// Found on quiet days of many senders: endpoints were full of idle connections.
+func TestRareConnectionsAreGivenBackAmongManySenders(t *testing.T) {
+	for _, senders := range []int{2, manySenders + 1} {
+		set := base()
+		set.Senders = senders
+		r := newRig(t, set)
+		r.step(0, list(2))
+		c := only[CallOut](r.step(0.1, r.call(0)))[0]
+		got := only[Release](r.step(0.2, answer(c.ID, c.Endpoint, 0, Completed)))
+		if (len(got) > 0) != (senders > manySenders) {
+			t.Errorf("%d senders: released %v", senders, got)
+		}
+	}
+}
+
+// New connections cost time and points: among many senders the endpoint that still has one comes first.
+func TestWarmConnectionComesFirstAmongManySenders(t *testing.T) {
+	for _, senders := range []int{2, manySenders + 1} {
+		set := base()
+		set.Senders, set.ConnIdle, set.ConnCalls, set.ConnPrice = senders, 10*Second, 1, 2*dearConn
+		r := newRig(t, set)
+		r.step(0, list(3))
+		used := map[EndpointID]bool{}
+		for i := range 6 {
+			c := only[CallOut](r.step(float64(i)+1, r.call(0)))[0]
+			acts := r.step(float64(i)+1.1, answer(c.ID, c.Endpoint, 0, Completed))
+			if len(only[Release](acts)) > 0 {
+				t.Error("a connection was given back though new ones are dear")
+			}
+			used[c.Endpoint] = true
+		}
+		if (len(used) == 1) != (senders > manySenders) {
+			t.Errorf("%d senders: %d endpoints used", senders, len(used))
+		}
+	}
+}
--- a/logic/memory_test.go
+++ b/logic/memory_test.go
@@ -11,35 +11,37 @@
 	for _, name := range []string{"plain", "apart", "reports", "weights"} {
 		set := variants()[name]
 		set.Remember = true
-		w := newWorld(t, set, 12)
-		w.play()
-		again, err := New(set, 5)
-		if err != nil {
-			t.Fatal(err)
-		}
-		list := Endpoints{Form: ListCached}
-		for _, id := range w.order {
-			row := w.eps[id].row
-			row.State = Ready
-			list.Entries = append(list.Entries, row)
-		}
-		again.Step(w.now, []Event{list})
 		seen, sick := 0, 0
-		for _, d := range w.s.order {
-			if len(d.eps) == 0 {
-				continue
+		for seed := uint64(1); seed <= 4; seed++ {
+			w := newWorld(t, set, seed)
+			w.play()
+			again, err := New(set, 5)
+			if err != nil {
+				t.Fatal(err)
 			}
-			m := w.s.memory(d)
-			if m.Sick {
-				sick++
+			list := Endpoints{Form: ListCached}
+			for _, id := range w.order {
+				row := w.eps[id].row
+				row.State = Ready
+				list.Entries = append(list.Entries, row)
 			}
-			again.Step(w.now, []Event{Recall{Memory: m}, Recall{Memory: Memory{Dest: d.id, Came: 99}}}) // the first counts
-			got := again.memory(again.dests[d.id])
-			got.Endpoints, m.Endpoints = byEndpoint(got), byEndpoint(m)
-			if !reflect.DeepEqual(got, m) {
-				t.Errorf("%s: destination %d:\n%+v, had\n%+v", name, d.id, got, m)
+			again.Step(w.now, []Event{list})
+			for _, d := range w.s.order {
+				if len(d.eps) == 0 {
+					continue
+				}
+				m := w.s.memory(d)
+				if m.Sick {
+					sick++
+				}
+				again.Step(w.now, []Event{Recall{Memory: m}, Recall{Memory: Memory{Dest: d.id, Came: 99}}}) // the first counts
+				got := again.memory(again.dests[d.id])
+				got.Endpoints, m.Endpoints = byEndpoint(got), byEndpoint(m)
+				if !reflect.DeepEqual(got, m) {
+					t.Errorf("%s: destination %d:\n%+v, had\n%+v", name, d.id, got, m)
+				}
+				seen += len(m.Took.Bins)
 			}
-			seen += len(m.Took.Bins)
 		}
 		if seen == 0 || sick == 0 {
 			t.Errorf("%s: the memories tell of %d bins and %d sick destinations", name, seen, sick)
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -207,8 +207,7 @@
 		w.t.Fatal(err)
 	}
 	w.s, w.queue, w.slots = s, nil, 0
-	clear(w.quiet)                                 // the rest of a key is not kept
-	w.knows = w.knows && w.memories[1].Memory.Sick // nor what was learnt within the last second
+	clear(w.quiet) // the rest of a key is not kept
 	cached := Endpoints{Form: ListCached}
 	for _, id := range w.order {
 		row := w.eps[id].row
