Play a paused suspecter, a busy neighbour and an old copy of a folder with processes

Need: three of the hard cases of membership were played in virtual time only. The rig copies a folder and starts a sender from the copy (script words copy and old); Cases has all three, TestCuts pauses the one that suspects while its cut heals, TestWholeFleet starts one with a folder whose incarnation has been used since.

--- a/internal/standin/fleet/cases.go
+++ b/internal/standin/fleet/cases.go
@@ -29,6 +29,9 @@
 			add(fmt.Sprintf("%d paused for %v s", len(who), d), d+3, Event{At: sec(1), Do: Pause, Who: who}, Event{At: sec(1 + d), Do: Resume, Who: who})
 		}
 	}
+	add("one that suspects paused for 5 s", 10, link(Faults{Cut: true}, []int{0}, []int{1}), Event{At: sec(3.5), Do: Pause, Who: []int{1}}, heal(6),
+		Event{At: sec(8.5), Do: Resume, Who: []int{1}})
+	add("two beside a busy neighbour", 21, Event{At: sec(1), Do: Busy, Who: []int{0, 1}}, Event{At: sec(20), Do: Calm, Who: []int{0, 1}})
 	var often []Event
 	for i := range 10 {
 		often = append(often, Event{At: sec(1 + 6*float64(i)), Do: Pause, Who: []int{1}}, Event{At: sec(4 + 6*float64(i)), Do: Resume, Who: []int{1}})
@@ -64,6 +67,8 @@
 	add("one after another started again", 12, Event{At: sec(0.5), Do: Restart, Who: []int{0}}, Event{At: sec(2.5), Do: Restart, Who: []int{1}},
 		Event{At: sec(4.5), Do: Restart, Who: []int{2}}, Event{At: sec(6.5), Do: Restart, Who: []int{3}}, Event{At: sec(8.5), Do: Restart, Who: []int{4}})
 	add("started again with an emptied folder", 3, Event{At: sec(0.5), Do: Empty, Who: []int{0}})
+	add("started again with an old copy of its folder", 9, Event{At: sec(0.5), Do: Copy, Who: []int{0}}, Event{At: sec(1), Do: Restart, Who: []int{0}},
+		Event{At: sec(4), Do: Restart, Who: []int{0}}, Event{At: sec(7), Do: Old, Who: []int{0}})
 	return out
 }
 
--- a/internal/standin/fleet/faults_test.go
+++ b/internal/standin/fleet/faults_test.go
@@ -106,6 +106,13 @@
 		f.Heal()
 		await(t, f, x.name+", healed", AllHere)
 	}
+	f.Fault(0, 1, Faults{Cut: true}) // the one that suspects is paused, and the cut heals meanwhile
+	await(t, f, "s1 does not hear s0", state(1, "s0", view.Unreachable))
+	f.Senders()[1].Pause()
+	f.Heal()
+	await(t, f, "its guard says that it is paused", Believes(view.Paused, "s1"))
+	f.Senders()[1].Resume()
+	await(t, f, "it holds no suspicion from before its pause", func(list []Seen) bool { noneGone(t, "s1 awake")(list[1:2]); return AllHere(list) })
 	f.Senders()[1].Pause() // for less than two leases: its guard says nothing
 	f.Until(1500*time.Millisecond, noneGone(t, "a short pause"))
 	f.Senders()[1].Resume()
@@ -130,6 +137,9 @@
 		return relays[:1]
 	}})
 	await(t, f, "all here, with twenty wrong addresses", AllHere)
+	if err := f.Senders()[4].Copy(); err != nil {
+		t.Fatal(err)
+	}
 	seeds = false
 	for _, s := range f.Senders() {
 		s.Kill()
@@ -158,6 +168,10 @@
 		}
 	}
 	await(t, f, "back with emptied folders", AllHere)
+	if err := f.Senders()[4].RestartOld(); err != nil { // its incarnation there has been used since
+		t.Fatal(err)
+	}
+	await(t, f, "back with an old folder", AllHere)
 }
 
 // What is no packet of a sender changes nothing: garbage, packets cut off, of too
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"net"
 	"os"
 	"path/filepath"
@@ -303,13 +304,57 @@
 // Restart kills the process if it runs, and starts it; with empty, from an emptied
 // folder.
 func (s *Sender) Restart(empty bool) error {
-	s.Kill()
-	do := Restart
 	if empty {
-		do = Empty
+		return s.again(Empty, func() error { return os.RemoveAll(s.Dir) })
+	}
+	return s.again(Restart, func() error { return nil })
+}
+
+// Copy copies the folder as it is, for [Sender.RestartOld].
+func (s *Sender) Copy() error {
+	s.fleet.Time.note(Entry{Do: Copy, Who: []int{s.N}})
+	if err := os.RemoveAll(s.Dir + ".old"); err != nil {
+		return err
+	}
+	return copyFolder(s.Dir+".old", s.Dir)
+}
+
+// copyFolder copies the regular files of a folder; it holds sockets too.
+func copyFolder(to, from string) error {
+	return filepath.WalkDir(from, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		out := filepath.Join(to, strings.TrimPrefix(path, from))
+		switch {
+		case d.IsDir():
+			return os.MkdirAll(out, 0o700)
+		case !d.Type().IsRegular():
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(out, text, 0o600)
+	})
+}
+
+// RestartOld kills the process if it runs, and starts it with the copy of its folder.
+func (s *Sender) RestartOld() error {
+	return s.again(Old, func() error {
 		if err := os.RemoveAll(s.Dir); err != nil {
 			return err
 		}
+		return copyFolder(s.Dir, s.Dir+".old")
+	})
+}
+
+// again kills the process if it runs, changes its folder, and starts it.
+func (s *Sender) again(do Do, change func() error) error {
+	s.Kill()
+	if err := change(); err != nil {
+		return err
 	}
 	s.fleet.Time.note(Entry{Do: do, Who: []int{s.N}})
 	if err := s.write(); err != nil {
@@ -394,6 +439,10 @@
 		s.Kill()
 	case Restart, Empty:
 		return s.Restart(what == Empty)
+	case Copy:
+		return s.Copy()
+	case Old:
+		return s.RestartOld()
 	case Busy:
 		return s.Busy()
 	case Calm:
--- a/internal/standin/fleet/script.go
+++ b/internal/standin/fleet/script.go
@@ -31,6 +31,8 @@
 	Kill    Do = "kill"    // SIGKILL
 	Restart Do = "restart" // killed if it runs, and started from its folder
 	Empty   Do = "empty"   // killed if it runs, and started with an emptied folder
+	Copy    Do = "copy"    // its folder is copied as it is then
+	Old     Do = "old"     // killed if it runs, and started from the copy
 	Busy    Do = "busy"    // its processor is shared with a busy neighbour
 	Calm    Do = "calm"    // and no more
 	Link    Do = "link"    // the links From and To have the event's faults
@@ -38,7 +40,7 @@
 	Heal    Do = "heal"    // all links carry all again
 )
 
-var known = []Do{Pause, Resume, Kill, Restart, Empty, Busy, Calm, Link, Reset, Heal}
+var known = []Do{Pause, Resume, Kill, Restart, Empty, Copy, Old, Busy, Calm, Link, Reset, Heal}
 
 // Event is one fault of a script. Who, From and To are numbers of senders from 0;
 // an empty From or To means all of them.
