Hold what senders know of partners as facts, with joins and rules for what differs

Need: a partner tells one sender to wait and the others call on. internal/facts is a copy of what is known, free of I/O: each sender numbers its own facts, one for each subject; a join takes the higher number, so order, doublings and losses do not matter; ages travel as least and most, so that no wait ends early; out stands until an answer in the same zone to a call that was begun when it was known. Virtual time of the plays of view is a package of its own now (internal/standin/virtual), the plays are the same.

--- /dev/null
+++ b/internal/facts/rules.go
@@ -0,0 +1,153 @@
+package facts
+
+import (
+	"cmp"
+	"slices"
+)
+
+// What holds of a subject, where senders say different things of it.
+
+// Lesson is what others have learnt, as far as this sender is to know it. Of the
+// fields after Subject those of its kind are set.
+type Lesson struct {
+	Subject
+	Left Time    // Wait: until its end
+	Out  bool    // Health: somebody has found it out, and nobody here has had an answer since
+	Back bool    // Health: that holds no longer
+	Pace float64 // Limit
+	By   string  // who has it from the partner
+	// Mark is to be given back with what this sender finds itself; see [Copy.Cover].
+	Mark uint64
+}
+
+// told is what was last told of a subject.
+type told struct {
+	wait Time
+	mark uint64
+	out  bool
+}
+
+// holds lists what others say of a subject and is not over, newest arrival last.
+func (c *Copy) holds(now Time, s Subject) []*entry {
+	var out []*entry
+	for _, e := range c.subject[s] {
+		if now < e.end() && e.from != c.own {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b *entry) int { return cmp.Compare(a.arrived, b.arrived) })
+	return out
+}
+
+// Learn is what is new of some subjects since it was last asked for. What this
+// sender has told itself is left out.
+func (c *Copy) Learn(now Time, subjects []Subject) (out []Lesson) {
+	for _, s := range subjects {
+		was, is, lesson := c.told[s], told{}, Lesson{Subject: s}
+		list := c.holds(now, s)
+		for _, e := range list {
+			switch s.Kind {
+			case Wait: // the longest
+				if e.end() > is.wait {
+					is.wait, lesson.By = e.end(), e.from.Name
+				}
+			case Health: // out, unless an answer since: an answer counts where it came
+				if e.Value.Out && !c.covered(s, e.dot()) {
+					is.out, is.mark, lesson.By = true, e.arrived, e.from.Name
+				}
+			case Limit: // the lowest of those that are news
+				if e.arrived > was.mark && (lesson.Pace == 0 || e.Value.Pace < lesson.Pace) {
+					lesson.Pace, lesson.By = e.Value.Pace, e.from.Name
+				}
+				is.mark = max(is.mark, e.arrived)
+			}
+		}
+		lesson.Mark = c.arrival
+		lesson.Left = max(is.wait-now, 0)
+		lesson.Out = is.out && is.mark > was.mark
+		lesson.Back = was.out && !is.out
+		if s.Kind == Health {
+			is.mark = max(is.mark, was.mark)
+		}
+		switch {
+		case s.Kind == Wait && is.wait <= was.wait+1e6: // by another way, or a shorter one
+			is.wait = max(was.wait, is.wait)
+		case s.Kind == Wait, lesson.Out, lesson.Back, lesson.Pace > 0:
+			out = append(out, lesson)
+		}
+		if len(c.subject[s]) == 0 {
+			delete(c.told, s)
+		} else {
+			c.told[s] = is
+		}
+	}
+	return out
+}
+
+// covered says whether a sender of this zone has had an answer to a call that it
+// began when it knew of a fact. Where a partner is out for one zone only, an answer
+// in another proves nothing.
+func (c *Copy) covered(s Subject, d Dot) bool {
+	for _, e := range c.subject[s] {
+		if e.Zone == c.zone && slices.Contains(e.Value.Covers, d) {
+			return true
+		}
+	}
+	return false
+}
+
+// Cover lists what others say of an endpoint being out, as far as it had arrived by
+// a mark: what an answer to a call begun after that refutes.
+func (c *Copy) Cover(s Subject, mark uint64) (out []Dot) {
+	for _, e := range c.subject[s] {
+		if e.Value.Out && e.arrived <= mark && e.from != c.own && len(out) < MostCovers {
+			out = append(out, e.dot())
+		}
+	}
+	return out
+}
+
+// Statement is one sender's word on a subject, for operators.
+type Statement struct {
+	Subject
+	Origin  Origin
+	Seq     uint64
+	Zone    string
+	Least   Time // age
+	Most    Time
+	Left    Time // until its end, at the latest
+	Value   Value
+	Holds   bool // it decides, by the rule of its kind
+	Covered bool // an answer since, in this zone, has refuted it
+}
+
+// List is all that is said of a partner, or of all for an empty name, by subject;
+// at most so many statements.
+func (c *Copy) List(now Time, partner string, most int) (out []Statement) {
+	for id, o := range c.origins {
+		for s, e := range o.facts {
+			if now >= e.end() || partner != "" && s.Partner != partner {
+				continue
+			}
+			out = append(out, Statement{Subject: s, Origin: id, Seq: e.Seq, Zone: e.Zone, Least: max(now-e.hi, 0), Most: max(now-e.lo, 0),
+				Left: e.end() - now, Value: e.Value, Covered: e.Value.Out && c.covered(s, Dot{id, e.Seq})})
+		}
+	}
+	slices.SortFunc(out, func(a, b Statement) int {
+		return cmp.Or(cmp.Compare(a.Partner, b.Partner), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Kind, b.Kind),
+			cmp.Compare(b.Left, a.Left), cmp.Compare(a.Origin.Name, b.Origin.Name), cmp.Compare(a.Origin.Life, b.Origin.Life))
+	})
+	out = out[:min(len(out), most)]
+	for i := range out { // the first of a subject is the one that ends last
+		first := i == 0 || out[i-1].Subject != out[i].Subject
+		switch out[i].Kind {
+		case Wait:
+			out[i].Holds = first
+		case Health:
+			out[i].Holds = out[i].Value.Out && !out[i].Covered
+		case Limit:
+			out[i].Holds = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/virtual/clock.go
@@ -0,0 +1,66 @@
+// Package virtual is time as plays have it: events happen in order, and nothing
+// waits for a real clock.
+package virtual
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Clock is virtual time with what is to happen in it.
+type Clock struct {
+	Now   time.Duration
+	queue queue
+	n     int
+}
+
+type event struct {
+	at   time.Duration
+	n    int // of two at one time the one that was asked for first goes first
+	what func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// After has something happen after a span.
+func (c *Clock) After(d time.Duration, what func()) {
+	c.n++
+	heap.Push(&c.queue, event{c.Now + d, c.n, what})
+}
+
+// Run lets time pass.
+func (c *Clock) Run(d time.Duration) {
+	end := c.Now + d
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		e := heap.Pop(&c.queue).(event)
+		c.Now = e.at
+		e.what()
+	}
+	c.Now = end
+}
+
+// Until lets time pass until something holds, at most d; it returns how long that
+// took, and whether it held.
+func (c *Clock) Until(d time.Duration, holds func() bool) (time.Duration, bool) {
+	from := c.Now
+	for !holds() {
+		if c.Now-from >= d {
+			return c.Now - from, false
+		}
+		c.Run(10 * time.Millisecond)
+	}
+	return c.Now - from, true
+}
--- a/internal/view/play/world.go
+++ b/internal/view/play/world.go
@@ -1,11 +1,11 @@
 package play
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"cometrack/internal/standin/virtual"
 	"cometrack/internal/view"
 )
 
@@ -50,30 +50,9 @@
 	Bytes    int
 }
 
-type event struct {
-	at   time.Duration
-	n    int
-	what func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // World is senders in virtual time.
 type World struct {
-	Now    time.Duration
+	virtual.Clock
 	Procs  []*Proc // of each sender the newest
 	All    []*Proc // those that run
 	Worst  float64 // the largest sum of parts that was seen
@@ -84,16 +63,15 @@
 	Sent   int
 	SizeOf func(m *view.Message) int
 
-	opts  Options
-	rng   *rand.Rand
-	queue queue
-	n     int
-	loss  map[[2]int]float64
-	cut   map[[2]int]bool
-	delay time.Duration
-	at    map[string]*Proc // who listens at an address; nil for nobody
-	addrs int
-	homes map[int]home
+	opts    Options
+	rng     *rand.Rand
+	loss    map[[2]int]float64
+	cut     map[[2]int]bool
+	delay   time.Duration
+	at      map[string]*Proc // who listens at an address; nil for nobody
+	addrs   int
+	started int // processes
+	homes   map[int]home
 }
 
 // home is a sender's folder.
@@ -151,7 +129,8 @@
 	h.inc++
 	h.addr = addr
 	w.homes[i] = h
-	p := &Proc{N: i, Num: w.n, Name: w.name(i), Addr: addr, Running: true, BornAt: w.Now, kept: h.kept, inc: h.inc,
+	w.started++
+	p := &Proc{N: i, Num: w.started, Name: w.name(i), Addr: addr, Running: true, BornAt: w.Now, kept: h.kept, inc: h.inc,
 		offset: time.Duration(w.rng.Int64N(int64(time.Hour))), pace: 1 + w.opts.Drift*(2*w.rng.Float64()-1)}
 	var join []string
 	for k, x := range w.Procs {
@@ -195,7 +174,7 @@
 		return
 	}
 	p.Paused, p.pausedAt = true, w.Now
-	w.later(d, func() { w.resume(p) })
+	w.After(d, func() { w.resume(p) })
 }
 
 func (w *World) resume(p *Proc) {
@@ -235,35 +214,6 @@
 	w.delay = w.opts.Delay
 }
 
-// Run lets time pass.
-func (w *World) Run(d time.Duration) {
-	end := w.Now + d
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		e := heap.Pop(&w.queue).(event)
-		w.Now = e.at
-		e.what()
-	}
-	w.Now = end
-}
-
-// Until lets time pass until something holds, at most d; it returns how long that
-// took, and whether it held.
-func (w *World) Until(d time.Duration, holds func() bool) (time.Duration, bool) {
-	from := w.Now
-	for !holds() {
-		if w.Now-from >= d {
-			return w.Now - from, false
-		}
-		w.Run(10 * time.Millisecond)
-	}
-	return w.Now - from, true
-}
-
-func (w *World) later(d time.Duration, what func()) {
-	w.n++
-	heap.Push(&w.queue, event{w.Now + d, w.n, what})
-}
-
 // local is a process's own clock.
 func (p *Proc) local(w *World) time.Duration {
 	at := w.Now
@@ -310,7 +260,7 @@
 	}
 	p.token++
 	token := p.token
-	w.later(max(time.Duration(float64(p.Machine.Next()-p.local(w))/p.pace), 0)+time.Microsecond, func() {
+	w.After(max(time.Duration(float64(p.Machine.Next()-p.local(w))/p.pace), 0)+time.Microsecond, func() {
 		if token == p.token {
 			w.do(p, func() view.Ready { return p.Machine.Tick(p.local(w)) })
 		}
@@ -360,7 +310,7 @@
 		return
 	}
 	m := *out.Message
-	w.later(w.wait(), func() {
+	w.After(w.wait(), func() {
 		to := w.at[out.To]
 		switch {
 		case to == nil:
@@ -388,7 +338,7 @@
 			found, after = view.Fenced, 2*w.wait()
 		}
 	}
-	w.later(after, func() {
+	w.After(after, func() {
 		w.do(p, func() view.Ready { return p.Machine.Probed(p.local(w), x, found) })
 	})
 }
