--- a/internal/facts/copy.go
+++ b/internal/facts/copy.go
@@ -28,13 +28,14 @@
 	Fact
 	from    *origin
 	lo, hi  Time
+	until   Time   // its end at the latest
 	arrived uint64 // number of the change by which it came
 	dead    bool   // another stands in its place
 	summed  bool
 }
 
 // end is when the fact is over at the latest. A wait never ends early by it.
-func (e *entry) end() Time { return e.hi + e.For }
+func (e *entry) end() Time { return e.until }
 
 func (e *entry) dot() Dot { return Dot{e.from.Origin, e.Seq} }
 
@@ -105,7 +106,7 @@
 	}
 	c.own.known++
 	c.arrival++
-	c.put(c.own, &entry{Fact: f, from: c.own, lo: now - age, hi: now - age, arrived: c.arrival})
+	c.put(c.own, &entry{Fact: f, from: c.own, lo: now - age, hi: now - age, until: now - age + span, arrived: c.arrival})
 	return nil
 }
 
@@ -132,10 +133,11 @@
 			continue
 		}
 		e := &entry{Fact: f, from: o, lo: now - c.long(f.Most+most), hi: now - c.short(f.Least)}
+		e.until = e.hi + c.long(f.For)
 		e.Least, e.Most = 0, 0
 		if was := o.facts[f.Subject]; was != nil && was.Seq >= f.Seq {
 			if was.Seq == f.Seq { // the same by another way
-				was.lo, was.hi = max(was.lo, e.lo), min(was.hi, e.hi)
+				was.lo, was.hi, was.until = max(was.lo, e.lo), min(was.hi, e.hi), min(was.until, e.until)
 			}
 			if was.Seq > f.Seq || was.hash() >= e.hash() { // it can differ by a fault only; then all take the same
 				continue
