--- a/cmd/cometrack/cluster.go
+++ b/cmd/cometrack/cluster.go
@@ -15,7 +15,6 @@
 
 	"cometrack/internal/cluster"
 	"cometrack/internal/console"
-	"cometrack/internal/view"
 )
 
 // watchEvery is how often a watched view is asked for.
@@ -24,7 +23,7 @@
 func clusterCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "cluster", Short: "See which senders there are, leave them, or have one forgotten", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
-	cmd.AddCommand(clusterStatus(), clusterLeave(), clusterForget())
+	cmd.AddCommand(clusterStatus(), clusterFacts(), clusterLeave(), clusterForget())
 	return cmd
 }
 
@@ -74,7 +73,7 @@
 	return cmd
 }
 
-func askStatus(ctx context.Context, addr string) (s view.Status, text string, err error) {
+func askStatus(ctx context.Context, addr string) (s cluster.Status, text string, err error) {
 	ctx, stop := context.WithTimeout(ctx, consoleTime)
 	defer stop()
 	if text, err = console.Ask(ctx, addr, "GET", "/cluster"); err == nil {
@@ -84,7 +83,7 @@
 }
 
 // shape is what of a view is worth a new print.
-func shape(s view.Status) string {
+func shape(s cluster.Status) string {
 	text := fmt.Sprintf("%s %d %.3f", s.State, s.Incarnation, s.Part)
 	for _, x := range s.Others {
 		text += fmt.Sprintf(" %s %s %d", x.Name, x.State, x.Incarnation)
@@ -92,7 +91,7 @@
 	return text
 }
 
-func printStatus(w io.Writer, s view.Status) {
+func printStatus(w io.Writer, s cluster.Status) {
 	fmt.Fprintf(w, "%s at %s, incarnation %d: %s; it may use %.1f%% of each rate", s.Name, s.Addr, s.Incarnation, s.State, 100*s.Part)
 	switch {
 	case s.Among > 0:
@@ -113,6 +112,77 @@
 	}
 	t.Flush()
 	w.Write(b.Bytes())
+	k := s.Knowledge
+	if k == nil {
+		fmt.Fprintln(w, "facts: none are shared")
+		return
+	}
+	now := "caught up"
+	if k.Behind {
+		now = fmt.Sprintf("behind for %.1f s", k.For)
+	}
+	fmt.Fprintf(w, "facts: %d, %s; %d of its own not confirmed by all; %d bytes sent; %d messages that made no sense, %d repairs, %d lost for want of room\n",
+		k.Facts, now, k.Unsure, k.Bytes, k.Forged, k.Repairs, k.Lost+k.Dropped)
+}
+
+func clusterFacts() *cobra.Command {
+	var addr, partner, diff string
+	var raw bool
+	cmd := &cobra.Command{
+		Use:   "facts",
+		Short: "Print what is known of partners, from whom, how old it is, and which rule decides",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if addr == "" {
+				return &exit{exitUsage, fmt.Errorf("say where the console is: --console host:port")}
+			}
+			ctx, stop := context.WithTimeout(cmd.Context(), consoleTime)
+			defer stop()
+			text, err := console.Ask(ctx, addr, "GET", "/cluster/facts?"+url.Values{"partner": {partner}, "diff": {diff}}.Encode())
+			if err != nil {
+				return &exit{exitError, err}
+			}
+			if raw {
+				fmt.Fprintln(cmd.OutOrStdout(), strings.TrimSpace(text))
+				return nil
+			}
+			var told cluster.Told
+			if err := json.Unmarshal([]byte(text), &told); err != nil {
+				return &exit{exitError, err}
+			}
+			printFacts(cmd.OutOrStdout(), told, diff)
+			return nil
+		},
+	}
+	consoleFlag(cmd, &addr)
+	cmd.Flags().StringVar(&partner, "partner", "", "of this partner only")
+	cmd.Flags().StringVar(&diff, "diff", "", "also where the copy of the sender with this name differs")
+	cmd.Flags().BoolVar(&raw, "json", false, "print it as JSON")
+	return cmd
+}
+
+func printFacts(w io.Writer, told cluster.Told, diff string) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "PARTNER\tENDPOINT\tKIND\tSAYS\tBY\tNUMBER\tZONE\tAGE\tLEFT\tRULE")
+	for _, x := range told.Facts {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%.1f to %.1f s\t%.1f s\t%s\n", x.Partner, x.Endpoint, x.Kind, x.Says, x.By, x.Number, x.Zone,
+			x.Age[0], x.Age[1], x.Left, x.Rule)
+	}
+	t.Flush()
+	if told.More {
+		fmt.Fprintln(w, "there are more")
+	}
+	if diff == "" {
+		return
+	}
+	fmt.Fprintf(w, "differences from %s, as it last told: %d\n", diff, len(told.Lacks))
+	for _, g := range told.Lacks {
+		lacks := diff
+		if g.Here < g.There {
+			lacks = "this sender"
+		}
+		fmt.Fprintf(w, "  of %s: known here up to %d, there up to %d; the higher number holds, %s is to have it\n", g.Origin, g.Here, g.There, lacks)
+	}
 }
 
 func clusterLeave() *cobra.Command {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -41,6 +41,7 @@
 	Drift               float64
 	Dir                 string // folder for what outlives a restart
 	Guard               []string
+	Facts               bool // what is learnt of partners is shared
 	Log                 *slog.Logger
 }
 
@@ -55,6 +56,8 @@
 	in     chan *view.Message
 	asks   chan struct{}
 	saves  chan kept // has room for one; the loop alone fills it
+	lore   *knowledge
+	behind atomic.Int64 // the copy of the facts is, and from that time on the least part may be used; 0 if it is not
 	stop   context.CancelFunc
 	done   chan struct{}
 	stamp  *stamp
@@ -70,6 +73,7 @@
 	said    int // lines within the second
 	second  int64
 	hushed  int
+	lean    bool // the least part is used because the copy of the facts is behind
 }
 
 // Open begins to meet the others. Until it has, the sender's part is 0.
@@ -78,7 +82,7 @@
 		opts.Advertise = opts.Listen
 	}
 	c := &Cluster{opts: opts, log: opts.Log, change: make(chan struct{}, 1), cmds: make(chan func()),
-		in: make(chan *view.Message, inbox), asks: make(chan struct{}, mostAsks), saves: make(chan kept, 1), done: make(chan struct{}), dropped: map[string]int{}}
+		in: make(chan *view.Message, inbox), asks: make(chan struct{}, mostAsks), saves: make(chan kept, 1), done: make(chan struct{}), dropped: map[string]int{}, lore: newKnowledge()}
 	var err error
 	if c.ring, err = newKeyring(opts.KeyFile, opts.Log); err != nil {
 		return nil, fmt.Errorf("cluster: %w", err)
@@ -108,8 +112,35 @@
 	<-c.done
 }
 
-// Allowed is which part of each rate may be used now.
-func (c *Cluster) Allowed() float64 { return c.part.Load().At(now()) }
+// Allowed is which part of each rate may be used now: nothing for a moment while the
+// copy of the facts is behind, and then the least until it has caught up.
+func (c *Cluster) Allowed() float64 {
+	t := now()
+	if least := time.Duration(c.behind.Load()); least > 0 && t < least {
+		return 0
+	}
+	return c.share(t)
+}
+
+// Share is the part that rates are to be planned with: that of [Cluster.Allowed], but
+// for moments.
+func (c *Cluster) Share() float64 { return c.share(now()) }
+
+func (c *Cluster) share(t time.Duration) float64 {
+	p := c.part.Load()
+	if least := time.Duration(c.behind.Load()); least > 0 && t >= least {
+		return min(p.At(t), p.Least)
+	}
+	return p.At(t)
+}
+
+// notify says that what may be used may have changed.
+func (c *Cluster) notify() {
+	select {
+	case c.change <- struct{}{}:
+	default:
+	}
+}
 
 // Changed has an entry when what [Cluster.Allowed] says may have changed.
 func (c *Cluster) Changed() <-chan struct{} { return c.change }
@@ -137,8 +168,18 @@
 }
 
 // Status is the view as it is now.
-func (c *Cluster) Status() (s view.Status, err error) {
-	err = c.within(func() { s = c.machine.Status(now()) })
+func (c *Cluster) Status() (s Status, err error) {
+	err = c.within(func() {
+		s.Status = c.machine.Status(now())
+		if m := c.lore.machine; m != nil {
+			s.Knowledge = &Knowledge{Status: m.Status(now())}
+		}
+	})
+	if s.Knowledge != nil {
+		c.lore.mu.Lock()
+		s.Knowledge.Lost = c.lore.lost
+		c.lore.mu.Unlock()
+	}
 	return s, err
 }
 
@@ -208,6 +249,7 @@
 	defer helpers.Wait()
 	defer udp.Close()
 	c.machine = c.newMachine()
+	c.lore.open(c.opts)
 	guard := newDoor(c, ln)
 	defer guard.close()
 	helpers.Go(func() { c.read(udp) })
@@ -225,13 +267,31 @@
 			f()
 		case m := <-c.in:
 			c.follow(c.machine.Take(now(), m))
+		case m := <-c.lore.in:
+			c.spread(c.lore.machine.Take(now(), m))
+		case f := <-c.lore.tells:
+			c.learn(f)
 		case <-timer.C:
-			c.follow(c.machine.Tick(now()))
+			if t := now(); t >= c.machine.Next() || c.lore.machine == nil || t >= c.part.Load().Until {
+				c.follow(c.machine.Tick(t))
+			}
 		}
 		next := c.machine.Next()
 		if p := c.part.Load(); p.Until > now() { // what the others hear of it comes with a tick; the part ends when it ends
 			next = min(next, p.Until)
 		}
+		if m := c.lore.machine; m != nil {
+			if now() >= m.Next() {
+				c.spread(m.Tick(now()))
+			}
+			next = min(next, m.Next())
+			if least := time.Duration(c.behind.Load()); least > now() {
+				next = min(next, least)
+			} else if least > 0 && !c.lean {
+				c.notify()
+			}
+			c.lean = c.behind.Load() > 0 && time.Duration(c.behind.Load()) <= now()
+		}
 		timer.Reset(max(next-now(), 0))
 	}
 }
@@ -248,10 +308,7 @@
 	old := c.part.Swap(&r.Part)
 	c.stamp.set(c.machine.Life())
 	if t := now(); old.At(t) != r.Part.At(t) || old.Now != r.Part.Now {
-		select {
-		case c.change <- struct{}{}:
-		default:
-		}
+		c.notify()
 	}
 	if r.Save {
 		k := kept{}
@@ -281,6 +338,9 @@
 	for _, p := range r.Probe {
 		c.probe(p)
 	}
+	if len(r.Send) > 0 || r.Save { // a tick, or another life
+		c.meetPeers()
+	}
 }
 
 // save writes what is to outlive a restart, beside the loop: a disk that takes long
@@ -337,20 +397,32 @@
 			}
 			continue // an earlier datagram found nobody
 		}
-		ring := c.ring.get()
-		m := &view.Message{}
-		if err := ring.unpack(buf[:n], m); err != nil {
-			c.drop(err.Error())
-			continue
-		}
-		select {
-		case c.in <- m:
-		default:
-			c.drop("too many at once")
+		if kindOf(buf[:n]) == lore && c.opts.Facts {
+			take(c, buf[:n], c.lore.in)
+		} else {
+			take(c, buf[:n], c.in)
 		}
 	}
 }
 
+// take hands a packet to the loop, unless it is dropped.
+func take[M any](c *Cluster, b []byte, to chan<- *M) {
+	m, ring := new(M), c.ring.get()
+	read := ring.unpack
+	if kindOf(b) == lore {
+		read = ring.open
+	}
+	if err := read(b, m); err != nil {
+		c.drop(err.Error())
+		return
+	}
+	select {
+	case to <- m:
+	default:
+		c.drop("too many at once")
+	}
+}
+
 // drop counts a packet that was dropped, and says so now and then.
 func (c *Cluster) drop(why string) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/cluster/knowledge.go
@@ -0,0 +1,289 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"cometrack/internal/facts"
+	"cometrack/internal/replicate"
+	"cometrack/internal/view"
+)
+
+// Bounds of what is shared.
+const (
+	mostTells  = 4096             // facts of this sender that wait for the loop; those above are dropped and counted
+	mostHeard  = 10_000           // subjects of which news wait for whoever takes them
+	outFor     = 60 * time.Second // a sender's word that an endpoint is out, unless it says so again
+	outAgain   = outFor / 3       // no word on the same before
+	spreadRate = 1 << 20          // bytes a second for all but what binds
+	mostListed = 10_000           // statements in one answer to an operator
+	patience   = 3                // ticks for which one that is behind waits before it uses its least part
+)
+
+// finding is a fact that this sender is to tell. Mark is given back with what it has
+// found itself; see [facts.Copy.Cover].
+type finding struct {
+	subject facts.Subject
+	value   facts.Value
+	span    time.Duration
+	mark    uint64
+	at      time.Duration
+}
+
+// knowledge is what a sender and the others know of partners.
+type knowledge struct {
+	tells chan finding
+	in    chan *replicate.Message
+
+	mu      sync.Mutex // of what follows
+	heard   map[facts.Subject]facts.Lesson
+	order   []facts.Subject
+	lost    int // of both
+	waiting chan struct{}
+
+	machine *replicate.Machine // the loop's; nil if nothing is shared
+	peers   []replicate.Peer
+}
+
+func newKnowledge() *knowledge {
+	return &knowledge{tells: make(chan finding, mostTells), in: make(chan *replicate.Message, inbox),
+		heard: map[facts.Subject]facts.Lesson{}, waiting: make(chan struct{}, 1)}
+}
+
+// open makes the machine. It begins behind.
+func (k *knowledge) open(o Options) {
+	if o.Facts {
+		k.machine = replicate.New(replicate.Config{Own: facts.Origin{Name: o.Name, Life: rand.Uint64() | 1}, Zone: o.Zone, Drift: o.Drift,
+			Every: o.Every, Patience: o.Lease, Rate: spreadRate, Seed: rand.Uint64()}, now())
+	}
+}
+
+// drop counts what there was no room for.
+func (k *knowledge) drop() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lost++
+}
+
+// tell hands the loop a fact of this sender. It never waits.
+func (k *knowledge) tell(f finding) {
+	f.at = now()
+	select {
+	case k.tells <- f:
+	default:
+		k.drop()
+	}
+}
+
+// put keeps lessons for whoever takes them, the newest of each subject.
+func (k *knowledge) put(list []facts.Lesson) {
+	if len(list) == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, l := range list {
+		if _, waits := k.heard[l.Subject]; !waits {
+			if len(k.order) >= mostHeard {
+				k.lost++
+				continue
+			}
+			k.order = append(k.order, l.Subject)
+		}
+		k.heard[l.Subject] = l
+	}
+	select {
+	case k.waiting <- struct{}{}:
+	default:
+	}
+}
+
+// Hear hands what others have learnt to take until ctx is over.
+func (c *Cluster) Hear(ctx context.Context, take func([]facts.Lesson)) {
+	k := c.lore
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.waiting:
+		}
+		k.mu.Lock()
+		list := make([]facts.Lesson, 0, len(k.order))
+		for _, s := range k.order {
+			list = append(list, k.heard[s])
+		}
+		k.order = k.order[:0]
+		clear(k.heard)
+		k.mu.Unlock()
+		if len(list) > 0 {
+			take(list)
+		}
+	}
+}
+
+// TellWait has the others told that an endpoint has told to be left alone for a span.
+func (c *Cluster) TellWait(partner, endpoint string, d time.Duration) {
+	c.lore.tell(finding{subject: facts.Subject{Kind: facts.Wait, Partner: partner, Endpoint: endpoint}, span: min(d, facts.MostFor)})
+}
+
+// TellHealth has the others told that this sender has found an endpoint out, or has
+// had an answer to a call that was begun after the lesson with that mark.
+func (c *Cluster) TellHealth(partner, endpoint string, out bool, mark uint64) {
+	c.lore.tell(finding{subject: facts.Subject{Kind: facts.Health, Partner: partner, Endpoint: endpoint}, value: facts.Value{Out: out}, span: outFor, mark: mark})
+}
+
+// learn puts a finding into this sender's copy, and out to the others.
+func (c *Cluster) learn(f finding) {
+	m := c.lore.machine
+	if m == nil || f.span <= 0 {
+		return
+	}
+	t := now()
+	if f.subject.Kind == facts.Health {
+		own, left := m.Copy().Says(t, f.subject)
+		if f.value.Out && own.Out && left > outFor-outAgain {
+			return
+		}
+		if !f.value.Out {
+			f.value.Covers = m.Copy().Cover(f.subject, f.mark)
+			if len(f.value.Covers) == 0 && !own.Out {
+				return // nobody says otherwise
+			}
+		}
+	}
+	r, err := m.Tell(t, f.subject, f.value, max(t-f.at, 0), f.span)
+	if err != nil {
+		c.log.Error("cluster: what was learnt can't be told", "partner", f.subject.Partner, "endpoint", f.subject.Endpoint, "err", err)
+	}
+	c.spread(r)
+}
+
+// spread does what a step of the copies asks for.
+func (c *Cluster) spread(r replicate.Ready) {
+	ring := c.ring.get()
+	for _, out := range r.Send {
+		to, err := net.ResolveUDPAddr("udp", out.To)
+		if err != nil {
+			continue
+		}
+		b, err := ring.packAs(lore, out.Message)
+		if err != nil {
+			c.log.Error("cluster: facts can't be sent", "err", err)
+			continue
+		}
+		c.udp.WriteToUDP(b, to)
+	}
+	c.lore.put(r.Lessons)
+	if r.Event != "" {
+		c.log.Info("cluster: facts", "what", r.Event)
+	}
+	behind, since := c.lore.machine.Behind()
+	least := int64(0)
+	if behind {
+		least = int64(since + patience*c.opts.Every)
+	}
+	if c.behind.Swap(least) != least {
+		c.notify()
+	}
+}
+
+// meetPeers follows the view: facts go to all who are not proven to have ended.
+func (c *Cluster) meetPeers() {
+	if c.lore.machine == nil {
+		return
+	}
+	var list []replicate.Peer
+	for _, x := range c.machine.Kin() {
+		list = append(list, replicate.Peer{Name: x.Name, Addr: x.Addr})
+	}
+	if !slices.Equal(list, c.lore.peers) {
+		c.lore.peers = list
+		c.lore.machine.Peers(list)
+	}
+}
+
+// Status is what operators see of a sender among others.
+type Status struct {
+	view.Status
+	Knowledge *Knowledge `json:"knowledge,omitempty"` // nil if nothing is shared
+}
+
+// Knowledge is what operators see of its copy of the facts.
+type Knowledge struct {
+	replicate.Status
+	Lost int `json:"lost"` // facts and news that there was no room for
+}
+
+// Told is all that is said of partners, for operators.
+type Told struct {
+	Facts []Said `json:"facts"`
+	More  bool   `json:"more"` // there are more than are listed
+	// Of a comparison with another sender: whose facts it lacks here, and the other way.
+	Lacks []replicate.Gap `json:"lacks,omitempty"`
+}
+
+// Said is one sender's word on something.
+type Said struct {
+	Kind     string     `json:"kind"`
+	Partner  string     `json:"partner"`
+	Endpoint string     `json:"endpoint"`
+	Says     string     `json:"says"`
+	By       string     `json:"by"`
+	Number   uint64     `json:"number"`
+	Zone     string     `json:"zone,omitempty"`
+	Age      [2]float64 `json:"age_s"` // at least and at most
+	Left     float64    `json:"left_s"`
+	Rule     string     `json:"rule"` // why it decides, or does not
+}
+
+// Facts lists what is said of a partner, or of all; with other, what that sender and
+// this one lack of each other's.
+func (c *Cluster) Facts(partner, other string) (out Told, err error) {
+	out.Facts = []Said{}
+	e := c.within(func() {
+		m := c.lore.machine
+		if m == nil {
+			err = fmt.Errorf("this sender shares no facts: its file says facts = false")
+			return
+		}
+		list := m.Copy().List(now(), partner, mostListed+1)
+		if out.More = len(list) > mostListed; out.More {
+			list = list[:mostListed]
+		}
+		for _, s := range list {
+			out.Facts = append(out.Facts, said(s))
+		}
+		if other != "" {
+			out.Lacks, err = m.Gaps(other)
+		}
+	})
+	if e != nil {
+		return out, e
+	}
+	return out, err
+}
+
+func said(s facts.Statement) Said {
+	out := Said{Kind: fmt.Sprint("kind ", s.Kind), Partner: s.Partner, Endpoint: s.Endpoint, By: s.Origin.Name, Number: s.Seq, Zone: s.Zone,
+		Age: [2]float64{s.Least.Seconds(), s.Most.Seconds()}, Left: s.Left.Seconds(), Rule: "passed on; this version does not know the kind"}
+	switch {
+	case s.Kind == facts.Wait:
+		out.Kind, out.Says, out.Rule = "wait", "leave it alone", "a longer one holds"
+		if s.Holds {
+			out.Rule = "the longest holds"
+		}
+	case s.Kind == facts.Health && !s.Value.Out:
+		out.Kind, out.Says, out.Rule = "health", "answers", fmt.Sprintf("refutes %d that were known when its call began, in its zone", len(s.Value.Covers))
+	case s.Kind == facts.Health:
+		out.Kind, out.Says, out.Rule = "health", "out", "holds: no answer here to a call begun since it was known"
+		if s.Covered {
+			out.Rule = "refuted by an answer in this zone"
+		}
+	}
+	return out
+}
--- a/internal/cluster/packet.go
+++ b/internal/cluster/packet.go
@@ -23,7 +23,8 @@
 // A packet is a magic number, a seal (the first bytes of the HMAC-SHA256 of the
 // rest, RFC 2104), and a message in CBOR (RFC 8949).
 const (
-	magic     = "cmtk1"
+	magic     = "cmtk1" // of the view, and of probes
+	lore      = "cmtf1" // of facts
 	sealSize  = 16
 	headSize  = len(magic) + sealSize
 	maxPacket = 60_000 // bytes; of a datagram over IPv4 65,507 fit
@@ -46,7 +47,7 @@
 		return m
 	})
 	decMode = sync.OnceValue(func() cbor.DecMode {
-		m, err := cbor.DecOptions{MaxArrayElements: view.MostSeats + 16, MaxMapPairs: 64, MaxNestedLevels: 6, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+		m, err := cbor.DecOptions{MaxArrayElements: view.MostSeats + 16, MaxMapPairs: 64, MaxNestedLevels: 12, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
 		if err != nil {
 			panic(err)
 		}
@@ -100,7 +101,11 @@
 }
 
 // pack makes a packet.
-func (k keys) pack(v any) ([]byte, error) {
+func (k keys) pack(v any) ([]byte, error) { return k.packAs(magic, v) }
+
+// packAs makes a packet with a magic number, which counts in the seal of all but
+// those of the view.
+func (k keys) packAs(kind string, v any) ([]byte, error) {
 	payload, err := encMode().Marshal(v)
 	if err != nil {
 		return nil, err
@@ -112,21 +117,47 @@
 	if len(k) > 0 {
 		key = k[0]
 	}
-	return append(append([]byte(magic), seal(key, payload)...), payload...), nil
+	return append(append([]byte(kind), sealAs(kind, key, payload)...), payload...), nil
+}
+
+func sealAs(kind string, key, payload []byte) []byte {
+	if kind == magic {
+		return seal(key, payload)
+	}
+	return seal(key, append([]byte(kind), payload...))
+}
+
+// kindOf is the magic number of a packet; empty for none.
+func kindOf(b []byte) string {
+	if len(b) >= headSize {
+		if kind := string(b[:len(magic)]); kind == magic || kind == lore {
+			return kind
+		}
+	}
+	return ""
 }
 
-// unpack reads a packet into v.
+// unpack reads a packet of the view, or of a probe, into v.
 func (k keys) unpack(b []byte, v any) error {
+	if len(b) <= maxPacket && kindOf(b) != magic {
+		return errForeign
+	}
+	return k.open(b, v)
+}
+
+// open reads a packet of either kind into v.
+func (k keys) open(b []byte, v any) error {
+	kind := kindOf(b)
 	switch {
 	case len(b) > maxPacket:
 		return errOversize
-	case len(b) < headSize || string(b[:len(magic)]) != magic:
+	case kind == "":
 		return errForeign
 	}
 	payload, sealed := b[headSize:], b[len(magic):headSize]
-	good := len(k) == 0 && hmac.Equal(seal(nil, payload), sealed)
+	good := len(k) == 0 && hmac.Equal(sealAs(kind, nil, payload), sealed)
 	for _, key := range k {
-		good = good || hmac.Equal(seal(key, payload), sealed)
+		good = good || hmac.Equal(sealAs(kind, key, payload), sealed)
 	}
 	if !good {
 		return errKey
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -73,6 +73,9 @@
 		if c.Guard == nil {
 			c.Guard = new(true)
 		}
+		if c.Facts == nil {
+			c.Facts = new(true)
+		}
 	}
 	if w := f.Sink.Webhook; w != nil {
 		or(&w.Timeout, Duration(5*time.Second))
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -116,6 +116,7 @@
 	Lease     Duration `toml:"lease"`     // a part is used for so long without word of the others
 	Least     float64  `toml:"least"`     // share of each rate that is kept for senders that are cut off
 	Drift     float64  `toml:"drift"`     // clocks of the senders' machines run at 1-drift to 1+drift of the true pace
+	Facts     *bool    `toml:"facts"`     // what is learnt of partners is shared; default: true
 	Guard     *bool    `toml:"guard"`     // a small process that tells the others if this one is paused; default: true
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -31,7 +31,7 @@
 		ConnIdle: micros(f.Transport.HTTP.Idle), ConnCalls: 1, MaxRetryAfter: micros(f.Limits.RetryAfter), OverShareWorth: 0.2,
 		DrainGrace: micros(f.Rules.DrainGrace), FallMultiple: f.Rules.FallMultiple, FallWindow: micros(f.Rules.FallWindow),
 		ColdFrom: f.Rules.ColdFrom, WarmAfter: micros(f.Rules.WarmAfter), KeyQuiet: micros(f.Rules.KeyQuiet),
-		ReportLeft: -1, ReportLimit: -1}
+		ReportLeft: -1, ReportLimit: -1, Share: f.Shares()}
 	for i, z := range f.Zones {
 		if z == f.Zone {
 			s.Zone = i
@@ -50,6 +50,9 @@
 	return s
 }
 
+// Shares says whether what is learnt of partners is shared with other senders.
+func (f *File) Shares() bool { return f.Cluster != nil && *f.Cluster.Facts }
+
 // Even is the part of each rate of a sender that knows nothing of the others.
 func (f *File) Even() float64 { return 1 / float64(f.Senders) }
 
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"cometrack/internal/cluster"
 	"cometrack/internal/lifecycle"
-	"cometrack/internal/view"
 )
 
 // Bounds of the console.
@@ -39,7 +39,8 @@
 
 // Cluster is what the console asks of other senders. [cluster.Cluster] is one.
 type Cluster interface {
-	Status() (view.Status, error)
+	Status() (cluster.Status, error)
+	Facts(partner, other string) (cluster.Told, error)
 	Leave() error
 	Forget(name string) error
 }
@@ -129,16 +130,23 @@
 		}
 		say(w, http.StatusOK, text)
 	}
+	show := func(w http.ResponseWriter, v any, err error) {
+		if err != nil {
+			say(w, http.StatusServiceUnavailable, err.Error())
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Cache-Control", "no-store")
+		json.NewEncoder(w).Encode(v)
+	}
 	others := map[string]clusterRoute{
 		"/cluster": {http.MethodGet, func(w http.ResponseWriter, _ *http.Request, x Cluster) {
 			s, err := x.Status()
-			if err != nil {
-				say(w, http.StatusServiceUnavailable, err.Error())
-				return
-			}
-			w.Header().Set("Content-Type", "application/json")
-			w.Header().Set("Cache-Control", "no-store")
-			json.NewEncoder(w).Encode(s)
+			show(w, s, err)
+		}},
+		"/cluster/facts": {http.MethodGet, func(w http.ResponseWriter, r *http.Request, x Cluster) {
+			told, err := x.Facts(r.URL.Query().Get("partner"), r.URL.Query().Get("diff"))
+			show(w, told, err)
 		}},
 		"/cluster/leave": {http.MethodPost, func(w http.ResponseWriter, _ *http.Request, x Cluster) { told(w, x.Leave(), "left") }},
 		"/cluster/forget": {http.MethodPost, func(w http.ResponseWriter, r *http.Request, x Cluster) {
@@ -157,7 +165,7 @@
 		case !ok && others[r.URL.Path].method != "":
 			say(w, http.StatusNotFound, "this sender knows nothing of others: its file has no [cluster]")
 		case !ok:
-			say(w, http.StatusNotFound, "no such call; there are GET /_ready, POST /_lameduck/on, POST /_lameduck/off, GET /cluster, POST /cluster/leave, POST /cluster/forget?name=NAME")
+			say(w, http.StatusNotFound, "no such call; there are GET /_ready, POST /_lameduck/on, POST /_lameduck/off, GET /cluster, GET /cluster/facts?partner=NAME, POST /cluster/leave, POST /cluster/forget?name=NAME")
 		case r.Method != at.method:
 			w.Header().Set("Allow", at.method)
 			say(w, http.StatusMethodNotAllowed, "this call takes "+at.method)
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -176,10 +176,8 @@
 	c.traceReply(ev)
 	r := ev.result
 	if r.Wait > 0 {
-		c.holdWait(ev.attempt.Endpoint)
-		if to, ok := c.dir.eps[ev.attempt.Endpoint]; ok && c.cfg.KeepWaits {
-			c.records = append(c.records, journal.Record{Op: journal.OpWait, ID: to.name, At: time.Now().Add(r.Wait).UnixMicro()})
-		}
+		c.waits(ev.attempt.Endpoint, r.Wait)
+		c.share(Lesson{Wait: r.Wait}, ev.attempt.Endpoint)
 	}
 	ended := h.over
 	done := r.Outcome == logic.Completed || r.Over
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,6 +49,8 @@
 	// Allowed is which part of each partner's rate may be used now, 0 to 1; nil for all
 	// that the source's weights tell. It may fall at any time.
 	Allowed func() float64
+	// Others are the senders with which lessons are shared; nil for none.
+	Others Others
 	// From is what another process hands over; nil for a start from the store alone.
 	From *Inheritance
 }
@@ -81,6 +83,7 @@
 	cfg       Config
 	reopen    func() (Store, error)
 	allowed   func() float64
+	others    Others // nil for none
 	from      *Inheritance
 	stated    atomic.Pointer[terms] // what clients are held to
 	log       *slog.Logger
@@ -96,8 +99,9 @@
 
 	// What follows belongs to the loop.
 	dir      *directory
-	part     float64 // of each rate that the weights are made for
-	heard    bool    // the source itself has told of a list, in the life of this process
+	part     float64                     // of each rate that the weights are made for
+	marks    map[logic.EndpointID]uint64 // of the last lesson that the module was told
+	heard    bool                        // the source itself has told of a list, in the life of this process
 	due      *time.Timer
 	token    uint64
 	start    time.Time
@@ -130,7 +134,7 @@
 	if parts.Life == nil {
 		parts.Life = lifecycle.NewLife(Times, parts.Log)
 	}
-	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, from: parts.From, afar: map[string]*held{}, log: parts.Log, store: parts.Store,
+	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, from: parts.From, afar: map[string]*held{}, log: parts.Log, store: parts.Store,
 		transport: parts.Transport, source: parts.Source, sink: parts.Sink, sender: sender,
 		events: make(chan any, eventRoom), done: make(chan struct{}), ready: make(chan struct{}),
 		dir: newDirectory(cfg.Zones, cfg.Settings.Kinds), start: time.Now(), due: time.NewTimer(time.Hour),
@@ -178,6 +182,9 @@
 	for _, f := range fronts {
 		go f.Serve()
 	}
+	if c.others != nil {
+		go c.others.Hear(deciding, func(list []Lesson) { c.post(lessonsEvent(list)) })
+	}
 	c.log.Info("ready", attrs...)
 	c.life.Tell(lifecycle.Started)
 	close(c.ready)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -123,6 +123,11 @@
 		}
 	}
 	c.dir.forget(now, calls, partners)
+	for id := range c.marks {
+		if _, ok := c.dir.eps[id]; !ok {
+			delete(c.marks, id)
+		}
+	}
 }
 
 // resume hands the module what the store holds, with what became of it so far, and
@@ -137,6 +142,9 @@
 		for name, until := range c.store.Waits() {
 			if id, ok := c.dir.ids[name]; ok {
 				c.next = append(c.next, logic.Told{Endpoint: id, Left: logic.Micros(until - now)})
+				if left := time.Duration(until-now) * time.Microsecond; left > 0 { // the others may not have heard of it
+					c.share(Lesson{Wait: left}, id)
+				}
 			}
 		}
 	}
@@ -215,6 +223,8 @@
 		c.next = append(c.next, logic.HealthResult{Endpoint: ev.ep, Outcome: ev.outcome})
 	case News:
 		c.news(ev)
+	case lessonsEvent:
+		c.hears(ev)
 	case confirmedEvent:
 		now := time.Now().UnixMicro()
 		for _, id := range ev.ids {
--- /dev/null
+++ b/internal/core/others.go
@@ -0,0 +1,51 @@
+package core
+
+import (
+	"time"
+
+	"cometrack/internal/journal"
+	"cometrack/logic"
+)
+
+// What senders that know of each other tell each other of partners; the module
+// decides what it means.
+
+// lessonsEvent is what others have learnt.
+type lessonsEvent []Lesson
+
+// share tells the others what this sender has learnt itself.
+func (c *Core) share(l Lesson, ep logic.EndpointID) {
+	to, ok := c.dir.eps[ep]
+	if c.others == nil || !ok {
+		return
+	}
+	l.Partner, l.Endpoint, l.Mark = to.partner, to.name, c.marks[ep]
+	c.others.Tell(l)
+}
+
+// hears takes what others have learnt. What concerns an endpoint that is not on the
+// list, or has another partner there, is not for this sender.
+func (c *Core) hears(list []Lesson) {
+	for _, l := range list {
+		id, ok := c.dir.ids[l.Endpoint]
+		if !ok || c.dir.eps[id].partner != l.Partner {
+			continue
+		}
+		if l.Wait > 0 {
+			c.next = append(c.next, logic.Told{Endpoint: id, Left: micros(l.Wait)})
+			c.waits(id, l.Wait)
+			continue
+		}
+		c.marks[id] = l.Mark
+		c.next = append(c.next, logic.Heard{Endpoint: id, Out: l.Out, Back: l.Back})
+	}
+}
+
+// waits keeps calls that have not begun from going to where a wait was told, and has
+// it outlive this process.
+func (c *Core) waits(ep logic.EndpointID, d time.Duration) {
+	c.holdWait(ep)
+	if to, ok := c.dir.eps[ep]; ok && c.cfg.KeepWaits {
+		c.records = append(c.records, journal.Record{Op: journal.OpWait, ID: to.name, At: time.Now().Add(d).UnixMicro()})
+	}
+}
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -163,6 +163,27 @@
 	Version() int64
 }
 
+// Lesson is what a sender has learnt of an endpoint, itself or from another one. One
+// of the fields after Endpoint is set.
+type Lesson struct {
+	Partner  string
+	Endpoint string        // its name
+	Wait     time.Duration // it has told to be left alone for so long from now
+	Out      bool          // it is out
+	Back     bool          // it has answered again, to a call that was begun when that was known
+	// Mark stands for what others had told when this was heard, and comes back with
+	// what was found since.
+	Mark uint64
+}
+
+// Others are senders with which lessons are shared.
+type Others interface {
+	// Tell has the others told what this sender has learnt itself. It never waits.
+	Tell(Lesson)
+	// Hear has what others have learnt handed to take, in order, until ctx is over.
+	Hear(ctx context.Context, take func([]Lesson))
+}
+
 // EndSink is told how messages ended.
 type EndSink interface {
 	// Add takes the end of a message, whose body may be gone; it never waits.
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -160,6 +160,8 @@
 		c.transport.Release(a.Endpoint)
 	case logic.Listen:
 		c.watch()
+	case logic.Learnt:
+		c.share(Lesson{Out: a.Out, Back: !a.Out}, a.Endpoint)
 	case logic.Log:
 		c.log.Info(a.Text)
 	}
--- a/internal/daemon/others.go
+++ b/internal/daemon/others.go
@@ -7,6 +7,8 @@
 
 	"cometrack/internal/cluster"
 	"cometrack/internal/config"
+	"cometrack/internal/core"
+	"cometrack/internal/facts"
 	"cometrack/internal/lifecycle"
 )
 
@@ -18,7 +20,7 @@
 	c := f.Cluster
 	o := cluster.Options{Name: f.Name, Zone: f.Zone, Version: Version, Listen: c.Listen, Advertise: c.Advertise, Join: c.Join, KeyFile: c.KeyFile,
 		Seats: f.Senders, Least: c.Least, Lease: time.Duration(c.Lease), Every: time.Duration(c.Lease) / config.Ticks, Drift: c.Drift,
-		Dir: f.State, Log: log}
+		Dir: f.State, Facts: *c.Facts, Log: log}
 	if *c.Guard {
 		o.Guard = guardArgs
 	}
@@ -36,7 +38,30 @@
 	if s.cluster == nil {
 		return s.file.Even()
 	}
-	return s.cluster.Allowed()
+	return s.cluster.Share()
+}
+
+// lessons is how the core hears of other senders, and they of it.
+type lessons struct{ *cluster.Cluster }
+
+// Tell has the others told.
+func (x lessons) Tell(l core.Lesson) {
+	if l.Wait > 0 {
+		x.TellWait(l.Partner, l.Endpoint, l.Wait)
+		return
+	}
+	x.TellHealth(l.Partner, l.Endpoint, l.Out, l.Mark)
+}
+
+// Hear hands on what the others tell.
+func (x lessons) Hear(ctx context.Context, take func([]core.Lesson)) {
+	x.Cluster.Hear(ctx, func(list []facts.Lesson) {
+		out := make([]core.Lesson, 0, len(list))
+		for _, l := range list {
+			out = append(out, core.Lesson{Partner: l.Partner, Endpoint: l.Endpoint, Wait: l.Left, Out: l.Out, Back: l.Back, Mark: l.Mark})
+		}
+		take(out)
+	})
 }
 
 // depart tells the others when this process is to end, and leaves them to the
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -62,6 +62,9 @@
 			return nil, err
 		}
 		parts.Allowed = others.Allowed
+		if f.Shares() {
+			parts.Others = lessons{others}
+		}
 	}
 	s, err := assemble(f, others, parts)
 	if err != nil {
@@ -81,7 +84,7 @@
 	share := shareOut(f.Limits.Descriptors, f.Limits.Slots, store.MostFiles(int64(f.Limits.DiskMB)*1e6), consoleFiles(f.Console.Listen))
 	transport := httptransport.New(time.Duration(f.Transport.HTTP.ConnectTimeout), time.Duration(f.Transport.HTTP.Idle),
 		httptransport.Limits{Open: share.calls, Idle: share.idle, PerEndpoint: f.Limits.Slots})
-	transport.Source = net.ParseIP(f.Transport.HTTP.Source)
+	transport.Source, transport.RetryAfter = net.ParseIP(f.Transport.HTTP.Source), true
 	var stream *httpfront.Stream
 	var sinks []fan.Sink
 	if h := f.Front.HTTP; h != nil {
--- a/internal/facts/rules.go
+++ b/internal/facts/rules.go
@@ -107,6 +107,15 @@
 	return out
 }
 
+// Says is what this sender itself says of a subject, and for how long that holds
+// still; nothing if it says nothing.
+func (c *Copy) Says(now Time, s Subject) (Value, Time) {
+	if e := c.own.facts[s]; e != nil && now < e.end() {
+		return e.Value, e.end() - now
+	}
+	return Value{}, 0
+}
+
 // Statement is one sender's word on a subject, for operators.
 type Statement struct {
 	Subject
--- a/internal/replicate/machine.go
+++ b/internal/replicate/machine.go
@@ -279,6 +279,9 @@
 func (m *Machine) compare(now Time, p *peer, msg *Message) {
 	own, seq := m.copy.Own()
 	lacks := false
+	if len(p.rows) > facts.MostOrigins { // lives that are long over, most of them
+		clear(p.rows)
+	}
 	answered := msg.Answer != 0 && msg.Answer == p.asked && msg.Whole
 	if answered && m.behind && p.goal == nil {
 		p.aim(msg.Rows)
--- /dev/null
+++ b/internal/standin/fleet/knowledge_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cometrack/internal/standin/partner"
+)
+
+// A partner tells one of four senders to wait. None of them calls it then, later than
+// a call that was on its way; nor does one that was paused when it was told, or
+// starts anew with an emptied folder meanwhile.
+func TestToldToOne(t *testing.T) {
+	const wait = 5 * time.Second
+	p, err := partner.Start(partner.Options{Name: "acme", Wait: wait, Seconds: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	f := start(t, Options{Senders: 4, Cluster: `lease = "1s"`, Config: Partners(p)})
+	feed, stop, done := &Feed{Partner: "acme", Class: "safe", Rate: 20}, make(chan struct{}), make(chan struct{})
+	await(t, f, "all here", AllHere)
+	await(t, f, "all caught up", Knowing)
+	go func() { feed.Run(f, stop); close(done) }()
+	defer func() { close(stop); <-done }()
+	from := map[string]bool{}
+	for round := range 2 {
+		f.Until(5*time.Second, func([]Seen) bool { // each has called it
+			for _, c := range p.Calls() {
+				from[c.From] = true
+			}
+			return len(from) == 4
+		})
+		clear(from)
+		paused := f.Senders()[round]
+		paused.Pause()
+		p.Set(partner.Full)
+		n := len(p.Calls())
+		if took, ok := f.Until(5*time.Second, func([]Seen) bool { return InWaits(p.Calls()[n:], wait, 0).Told > 0 }); !ok {
+			t.Fatalf("nobody was told to wait within %v", took)
+		}
+		p.Set(partner.Well)
+		paused.Resume()
+		if err := f.Senders()[2+round].Restart(round == 0); err != nil {
+			t.Fatal(err)
+		}
+		await(t, f, fmt.Sprint("all have caught up, round ", round), Knowing)
+		f.Until(10*time.Second, func([]Seen) bool { // and calls come again after it
+			calls := p.Calls()
+			return time.Since(calls[len(calls)-1].At) < 100*time.Millisecond && calls[len(calls)-1].Status == 200
+		})
+	}
+	got := InWaits(p.Calls(), wait, 250*time.Millisecond)
+	if t.Logf("%d calls; %+v", len(p.Calls()), got); got.Told < 2 || got.Inside > 0 {
+		t.Errorf("%+v; want 2 waits, and no call more than 250 ms after one was told", got)
+	}
+}
--- a/internal/standin/fleet/views.go
+++ b/internal/standin/fleet/views.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cometrack/internal/cluster"
 	"cometrack/internal/console"
 	"cometrack/internal/view"
 )
@@ -20,7 +21,7 @@
 type Seen struct {
 	N  int
 	OK bool
-	view.Status
+	cluster.Status
 }
 
 // Sees asks each sender that runs for its view, and puts what has changed on the
--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -39,6 +39,7 @@
 	Rate    int           // calls in each window that it takes; 0 for any number
 	Window  time.Duration // 0 for a second
 	Wait    time.Duration // told with each refusal; 0 for none
+	Seconds bool          // it tells waits by Retry-After, in seconds
 	Phases  []Phase       // gone through again and again; empty for well throughout
 }
 
@@ -220,7 +221,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	if status == http.StatusTooManyRequests {
-		w.Header().Set("X-Come-Back-Ms", strconv.FormatInt(p.opts.Wait.Milliseconds(), 10))
+		name, unit := "X-Come-Back-Ms", time.Millisecond
+		if p.opts.Seconds {
+			name, unit = "Retry-After", time.Second
+		}
+		w.Header().Set(name, strconv.FormatInt(int64(p.opts.Wait/unit), 10))
 	}
 	w.WriteHeader(status)
 }
--- a/internal/transport/http/answer.go
+++ b/internal/transport/http/answer.go
@@ -33,7 +33,7 @@
 // connection can carry another. net/http's reader would not do: the first line
 // counts even where the rest of the head can't be read, and lengths that leave a
 // doubt are no lengths. With a body, a 200 counts only if it has come whole.
-func readAnswer(r *bufio.Reader, limit *cutoff, reports []string, body *bytes.Buffer) (core.Result, bool) {
+func readAnswer(r *bufio.Reader, limit *cutoff, reports []string, later bool, body *bytes.Buffer) (core.Result, bool) {
 	for {
 		limit.wait(0)
 		if _, err := r.Peek(1); err != nil {
@@ -74,6 +74,9 @@
 		if body != nil {
 			out = outcomeOfBatch(status, header)
 		}
+		if later && out.Outcome == logic.Full && out.Wait == 0 && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) {
+			out.Wait = retryAfter(header, time.Now())
+		}
 		out.Load = readReport(header, reports)
 		return out, keep && err == nil
 	}
@@ -166,6 +169,27 @@
 	return header, keep && r.Buffered() == 0, nil
 }
 
+// retryAfter is the wait that Retry-After tells, in seconds or as a date; 0 for none.
+// A date is taken by the clock of the answer's own Date, if there is one.
+func retryAfter(header http.Header, now time.Time) time.Duration {
+	text := strings.TrimSpace(header.Get("Retry-After"))
+	if digits(text) {
+		s, err := strconv.ParseInt(text, 10, 64)
+		if err != nil { // more than there are numbers for
+			return core.MaxHold
+		}
+		return time.Duration(min(s, int64(core.MaxHold/time.Second))) * time.Second
+	}
+	at, err := http.ParseTime(text)
+	if err != nil {
+		return 0
+	}
+	if sent, err := http.ParseTime(header.Get("Date")); err == nil {
+		now = sent
+	}
+	return min(max(at.Sub(now), 0), core.MaxHold)
+}
+
 // outcomeOf reads an answer that came whole.
 func outcomeOf(status int, header http.Header) core.Result {
 	switch status {
--- a/internal/transport/http/answer_test.go
+++ b/internal/transport/http/answer_test.go
@@ -185,7 +185,7 @@
 		conn, peer := net.Pipe()
 		defer conn.Close()
 		defer peer.Close()
-		r, keep := readAnswer(newReader(in), &cutoff{conn: conn, by: time.Now().Add(byhand.Patience)}, nil, nil)
+		r, keep := readAnswer(newReader(in), &cutoff{conn: conn, by: time.Now().Add(byhand.Patience)}, nil, false, nil)
 		if r.Outcome == logic.Completed && !(strings.Contains(in, "HTTP/1.") && strings.Contains(in, " 200")) {
 			t.Errorf("%q is read as a delivery", in)
 		}
@@ -221,3 +221,35 @@
 		t.Error("a fragile call over a kept connection while those break")
 	}
 }
+
+// Retry-After tells a wait on 429 and 503, where it is heeded and nothing else does; a date is taken by the clock that
+// the answer shows.
+func TestRetryAfter(t *testing.T) {
+	const day = "Tue, 01 Dec 2026 10:00:0"
+	for name, x := range map[string]struct {
+		status, head string
+		heeded       bool
+		want         time.Duration
+	}{
+		"seconds":            {"429", "Retry-After: 3", true, 3 * time.Second},
+		"on 503":             {"503", "Retry-After: 2", true, 2 * time.Second},
+		"not heeded":         {"429", "Retry-After: 3", false, 0},
+		"on 500":             {"500", "Retry-After: 3", true, 0},
+		"a date":             {"429", "Date: " + day + "1 GMT\r\nRetry-After: " + day + "5 GMT", true, 4 * time.Second},
+		"a date gone by":     {"429", "Date: " + day + "5 GMT\r\nRetry-After: " + day + "1 GMT", true, 0},
+		"the other goes":     {"429", "X-Come-Back-Ms: 250\r\nRetry-After: 3", true, 250 * time.Millisecond},
+		"negative":           {"429", "Retry-After: -3", true, 0},
+		"no number":          {"429", "Retry-After: soon", true, 0},
+		"a year":             {"429", "Retry-After: 31536000", true, core.MaxHold},
+		"no number for that": {"429", "Retry-After: 99999999999999999999", true, core.MaxHold},
+	} {
+		text := "HTTP/1.1 " + x.status + " x\r\n" + x.head + "\r\nContent-Length: 0\r\n\r\n"
+		a, b := net.Pipe()
+		limit := &cutoff{conn: a, by: time.Now().Add(time.Minute)}
+		if r, _ := readAnswer(newReader(text), limit, nil, x.heeded, nil); r.Wait != x.want {
+			t.Errorf("%s: %v, want %v", name, r.Wait, x.want)
+		}
+		a.Close()
+		b.Close()
+	}
+}
--- a/internal/transport/http/calls.go
+++ b/internal/transport/http/calls.go
@@ -58,6 +58,10 @@
 	// kernel's choice. It is set before use.
 	Source net.IP
 
+	// RetryAfter says that Retry-After (RFC 9110, section 10.2.3) on 429 and 503 tells a
+	// wait, where X-Come-Back-Ms does not. It is set before use.
+	RetryAfter bool
+
 	dialer   net.Dialer
 	linger   time.Duration
 	settle   time.Duration
@@ -129,7 +133,7 @@
 		return core.Result{Outcome: logic.RefusedConn} // its last byte was not written
 	}
 	conn.limit.N = maxAnswer
-	r, keep := readAnswer(conn.r, limit, c.Reports, in.body)
+	r, keep := readAnswer(conn.r, limit, c.Reports, c.RetryAfter, in.body)
 	if r.Outcome == logic.Severed && !conn.since.IsZero() {
 		c.mu.Lock()
 		c.brokeAt = time.Now()
--- a/internal/view/machine.go
+++ b/internal/view/machine.go
@@ -252,6 +252,16 @@
 // Lists the others by name.
 func (m *Machine) names() []string { return slices.Sorted(maps.Keys(m.seats)) }
 
+// Kin lists the others that are not proven to have ended, by name.
+func (m *Machine) Kin() (list []Kept) {
+	for _, name := range m.names() {
+		if s := m.seats[name]; s.end == Lives && s.ID != 0 && s.alien == 0 {
+			list = append(list, s.Kept)
+		}
+	}
+	return list
+}
+
 // Kept is what is to be kept over a restart.
 func (m *Machine) Kept() (incarnation uint64, home string, list []Kept) {
 	for _, name := range m.names() {
--- a/logic/gate.go
+++ b/logic/gate.go
@@ -71,17 +71,16 @@
 
 // health holds messages back from an endpoint that seems out: single trials only, unsafe messages last.
 func (s *Sender) health(m *msg, e *endpoint) Micros {
-	if e.suspect {
-		switch {
-		case e.inflight > 0 || s.onTrial() >= max(1, s.set.Slots*2/3):
-			return never
-		case m.class.Effect == Unsafe && s.now < m.first+m.class.Aim:
-			return m.first + m.class.Aim
-		}
-		return e.trialAt
-	}
-	if m.class.Effect == Unsafe && e.bad > badUnsafe && s.now < m.first+m.class.Aim {
+	shy := m.class.Effect == Unsafe && s.now < m.first+m.class.Aim
+	switch {
+	case e.suspect && (e.inflight > 0 || s.onTrial() >= max(1, s.set.Slots*2/3)):
+		return never
+	case shy && (e.suspect || e.bad > badUnsafe):
 		return m.first + m.class.Aim
+	case e.suspect:
+		return e.trialAt
+	case e.inflight > 0 && e.doubt > e.good: // others say that it is out: singly, until an answer
+		return never
 	}
 	// Outages mostly take all endpoints: after one has failed, the others are tried singly until they answer.
 	if e.inflight > 0 && e.lane == e.dest.lane {
--- /dev/null
+++ b/logic/heard_test.go
@@ -0,0 +1,77 @@
+package logic
+
+import "testing"
+
+// What another sender has found: one without an answer of its own tries singly and holds the rest back; one that had
+// an answer a moment ago goes on singly; an answer counts as the end only to a call begun after; an end brings the
+// next trial forward. Without Share nothing is told.
+func TestHeard(t *testing.T) {
+	set := base()
+	set.Share = true
+	out, back := Heard{Endpoint: 1, Out: true}, Heard{Endpoint: 1, Back: true}
+	calls := func(r *rig, at float64, n int) (ids []CallOut) {
+		var evs []Event
+		for range n {
+			evs = append(evs, r.call(0))
+		}
+		return only[CallOut](r.step(at, evs...))
+	}
+
+	r := newRig(t, set) // idle
+	r.step(0, list(1), out)
+	if n := len(calls(r, 0.01, 3)); n != 0 {
+		t.Errorf("idle: %d calls right after the news", n)
+	}
+	trial := only[CallOut](r.step(0.5))
+	if len(trial) != 1 {
+		t.Fatalf("idle: %d trials", len(trial))
+	}
+	r.step(0.55, out) // once more, while the trial is out: its answer tells nothing of that
+	if l := only[Learnt](r.step(0.6, answer(trial[0].ID, 1, 0, Completed))); len(l) != 0 {
+		t.Errorf("an answer to a call from before: %+v", l)
+	}
+	at := 0.7
+	for trial = nil; len(trial) == 0 && at < 8; at += 0.1 {
+		trial = only[CallOut](r.step(at))
+	}
+	if len(trial) != 1 {
+		t.Fatalf("idle: %d trials after the second news", len(trial))
+	}
+	if l := only[Learnt](r.step(at, answer(trial[0].ID, 1, 0, Completed))); len(l) != 1 || l[0].Out {
+		t.Errorf("an answer to a call from after: %+v", l)
+	}
+
+	r = newRig(t, set) // at work
+	r.step(0, list(1))
+	at = r.warm(0, 3)
+	first := calls(r, at, 1)
+	if l := only[Learnt](r.step(at+0.1, out, answer(first[0].ID, 1, 0, Completed))); len(l) != 0 {
+		t.Errorf("at work, an answer to a call from before: %+v", l)
+	}
+	first = calls(r, at+0.1, 3)
+	if len(first) != 1 {
+		t.Fatalf("at work: %d calls at once after the news", len(first))
+	}
+	acts := r.step(at+0.2, answer(first[0].ID, 1, 0, Completed))
+	if l := only[Learnt](acts); len(l) != 1 || l[0].Out || len(only[CallOut](acts)) != 2 {
+		t.Errorf("at work, after an answer: %+v", acts)
+	}
+
+	r = newRig(t, set) // out by its own finding
+	r.step(0, list(1))
+	first = calls(r, 0, 1)
+	if l := only[Learnt](r.step(0.1, answer(first[0].ID, 1, 0, RefusedConn))); len(l) != 1 || !l[0].Out {
+		t.Errorf("found out: %+v", l)
+	}
+	next := r.s.eps[1].trialAt
+	if r.step(0.12, back); r.s.eps[1].trialAt >= next || r.s.eps[1].trialAt < sec(0.12) {
+		t.Errorf("the next trial is at %d, was at %d", r.s.eps[1].trialAt, next)
+	}
+
+	r = newRig(t, base())
+	r.step(0, list(1))
+	first = calls(r, 0, 1)
+	if l := only[Learnt](r.step(0.1, answer(first[0].ID, 1, 0, RefusedConn))); len(l) != 0 {
+		t.Errorf("told without Share: %+v", l)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -147,7 +147,8 @@
 			s.unlist(e)
 		}
 		e = &endpoint{id: row.Endpoint, dest: d, lane: d.lane, state: Gone}
-		e.lastOK, e.lastBad, e.lastSent, e.well, e.good = longAgo, longAgo, longAgo, longAgo, longAgo
+		e.lastOK, e.lastBad, e.lastSent = longAgo, longAgo, longAgo
+		e.well, e.good, e.doubt = longAgo, longAgo, longAgo
 		if s.kind(d).Apart {
 			e.lane = &lane{}
 		}
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -248,14 +248,15 @@
 	if e.suspect && sent < e.lastBad {
 		return
 	}
+	if e.suspect || e.doubt > e.good && sent >= e.doubt {
+		s.learnt(e, false)
+	}
 	if e.suspect {
 		s.log("endpoint %d answers again", e.id)
 		s.note(e.dest, true)
-		e.suspect, e.backAt = false, s.now
-		e.trialGap = 0
+		e.suspect, e.backAt, e.trialGap = false, s.now, 0
 	}
-	e.good = max(e.good, sent)
-	e.lastOK = s.now
+	e.good, e.lastOK = max(e.good, sent), s.now
 	e.fails, e.fulls, e.spoilt, e.lane.fulls = 0, 0, 0, 0
 	e.bad *= 1 - badAlpha
 }
@@ -278,6 +279,7 @@
 	e.bad += badAlpha * (1 - e.bad)
 	if e.fails >= 2 || e.bad > badShare || how != "errors" {
 		s.takeOut(e, how)
+		s.learnt(e, true)
 	}
 }
 
@@ -301,6 +303,18 @@
 		s.now-l.firstFull > fullsSpan {
 		s.ill(e)
 		s.takeOut(e, "refuses all")
+		s.learnt(e, true)
+	}
+}
+
+// heard takes what another sender has found. One that had an answer a moment ago believes that, and goes on
+// singly until the next. An end of an outage is worth a trial.
+func (s *Sender) heard(e *endpoint, h Heard) {
+	if e.doubt = s.now; h.Out && (e.suspect || e.lastOK < s.now-lately) {
+		s.ill(e)
+		s.takeOut(e, "others say so")
+	} else if h.Back && e.suspect {
+		e.trialAt = min(e.trialAt, s.now+Micros(s.rng.Float64()*float64(trialGap)))
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -59,6 +59,7 @@
 	lastOK, lastBad   Micros
 	well              Micros // when it was last known to be well for itself, a sibling being out
 	good              Micros // when its last call was sent that was answered well
+	doubt             Micros // when others last said something of it
 	suspect           bool   // out, as far as we know
 	cold              bool   // was out; budgeted until backAt+WarmAfter
 	backAt            Micros
@@ -464,6 +465,13 @@
 	}
 }
 
+// learnt tells others what this sender has found itself, if anybody asks for it.
+func (s *Sender) learnt(e *endpoint, out bool) {
+	if s.set.Share {
+		s.do(Learnt{Endpoint: e.id, Out: out})
+	}
+}
+
 // elsewhere says whether a sibling of e seems well.
 func (s *Sender) elsewhere(e *endpoint) bool {
 	for _, x := range e.dest.eps {
@@ -506,6 +514,10 @@
 		if e := s.eps[ev.Endpoint]; e != nil {
 			e.lane.until = max(e.lane.until, s.now+ev.Left)
 		}
+	case Heard:
+		if e := s.eps[ev.Endpoint]; e != nil {
+			s.heard(e, ev)
+		}
 	case Retune:
 		if Check(s.set, ev.Settings) == nil {
 			s.retune(ev.Settings)
--- a/logic/types.go
+++ b/logic/types.go
@@ -100,6 +100,7 @@
 	KeyQuiet     Micros  // rest of a key after an attempt whose end is not sure
 
 	Remember bool // Sender.Remember is going to be called
+	Share    bool // what this Sender finds is told to others: it says so by Learnt
 
 	ReportLeft  int // place of the share of the limit that is left in Reply.Load; -1 if none
 	ReportLimit int // place of the limit in calls a second in Reply.Load; -1 if none
@@ -209,6 +210,13 @@
 	Left     Micros
 }
 
+// Heard is what another sender has found of an endpoint: that it is out, or has
+// answered again.
+type Heard struct {
+	Endpoint  EndpointID
+	Out, Back bool
+}
+
 // Closing says that the sender stops within Left: what cannot finish by then is
 // not to be begun.
 type Closing struct{ Left Micros }
@@ -282,6 +290,7 @@
 func (Told) isEvent()         {}
 func (Retune) isEvent()       {}
 func (KeyRest) isEvent()      {}
+func (Heard) isEvent()        {}
 
 // Action is something to do: one of the types below.
 type Action interface{ isAction() }
@@ -322,6 +331,13 @@
 // Release gives back the idle connections to an endpoint.
 type Release struct{ Endpoint EndpointID }
 
+// Learnt says that this Sender has itself found an endpoint out, or, if not Out, has
+// had an answer to a call begun after it last found or heard that.
+type Learnt struct {
+	Endpoint EndpointID
+	Out      bool
+}
+
 // Listen asks for the endpoint list and its changes.
 type Listen struct{}
 
@@ -336,4 +352,5 @@
 func (Probe) isAction()    {}
 func (Release) isAction()  {}
 func (Listen) isAction()   {}
+func (Learnt) isAction()   {}
 func (Log) isAction()      {}
