--- a/internal/replicate/play/world.go
+++ b/internal/replicate/play/world.go
@@ -164,6 +164,23 @@
 	})
 }
 
+// Fill has one sender tell waits for so many endpoints, all at once.
+func (w *World) Fill(i, n int, d time.Duration) {
+	for k := range n {
+		w.Wait(i, fmt.Sprint("f", i, "-", k), d)
+	}
+}
+
+// Full says whether all that run have so many facts.
+func (w *World) Full(n int) bool {
+	for _, p := range w.running() {
+		if p.Machine.Copy().Len() != n {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Proc) local(w *World) time.Duration {
 	return p.offset + time.Duration(float64(w.Now)*p.pace)
 }
