Judge equal copies only where all that they were drawn from is known; ask one source at a time

Cause: a part of a later giver's facts and then all of an earlier giver's leave a copy short of what the later one had replaced; a flag 'whole' on the last delta said otherwise (copy.go, Merge). A delta tells now up to where its giver's knowledge was drawn from, and sums count once all of that is known. Catching up took each fact three times: two sources at once, the origin's own sending, and asks of whoever's digest came.

--- a/cmd/measure/knowledge.go
+++ b/cmd/measure/knowledge.go
@@ -256,7 +256,7 @@
 		bytes := int64(0)
 		for k := range 2 {
 			o := knowledgeOptions(seed)
-			o.Senders, o.Drift = 5, 0
+			o.Senders, o.Drift, o.Jitter = 5, 0, 0 // datagrams of one link stay in order
 			w := play.New(o)
 			w.Run(time.Second)
 			w.Fill(0, n, time.Hour)
--- a/internal/facts/copy.go
+++ b/internal/facts/copy.go
@@ -47,7 +47,7 @@
 	order        []*entry // by number; dead ones are left out from time to time
 	dead         int
 	sum          uint64 // of the facts from floor to known
-	whole        bool   // these are as the origin had them then
+	end          uint64 // up to where this was drawn from; the facts are as the origin had them once all of that is known
 	until        Time   // when the last of its facts ends
 }
 
@@ -72,7 +72,6 @@
 func New(own Origin, zone string, drift float64) *Copy {
 	c := &Copy{zone: zone, drift: drift, origins: map[Origin]*origin{}, subject: map[Subject][]*entry{}, told: map[Subject]told{}}
 	c.own = c.origin(own)
-	c.own.whole = true
 	return c
 }
 
@@ -126,6 +125,9 @@
 	}
 	o = c.origin(d.Origin)
 	c.raise(o, d.Floor)
+	if len(d.Facts) > 0 || d.UpTo > o.known {
+		o.end = max(o.end, d.End)
+	}
 	var changed []Subject
 	for i := range d.Facts {
 		f := d.Facts[i]
@@ -150,7 +152,6 @@
 	}
 	if d.Since <= o.known && d.UpTo > o.known {
 		c.learn(o, d.UpTo)
-		o.whole = d.Whole
 	}
 	return changed, nil
 }
@@ -298,7 +299,7 @@
 
 func (o *origin) row() Row {
 	r := Row{Origin: o.Origin, Known: o.known, Floor: o.floor, Sum: o.sum}
-	if n := len(o.order); !o.whole || n > 0 && o.order[n-1].Seq > o.known { // what came ahead may have taken the place of what is summed
+	if n := len(o.order); o.known < o.end || n > 0 && o.order[n-1].Seq > o.known { // what came ahead may have taken the place of what is summed
 		r.Sum = 0
 	}
 	return r
@@ -317,11 +318,11 @@
 func (c *Copy) Since(now Time, id Origin, since uint64, bytes int) Delta {
 	o := c.origins[id]
 	if o == nil {
-		return Delta{Origin: id, Since: since, UpTo: since}
+		return Delta{Origin: id, Since: since, UpTo: since, End: since}
 	}
 	d := Delta{Origin: id, Since: since, UpTo: max(o.known, since), Floor: min(o.floor, max(o.known, since))}
 	at, _ := slices.BinarySearchFunc(o.order, since+1, func(x *entry, seq uint64) int { return cmp.Compare(x.Seq, seq) })
-	d.Whole = o.whole
+	d.End = max(o.end, d.UpTo)
 	last := since
 	for _, e := range o.order[at:] {
 		if e.Seq > o.known {
@@ -333,7 +334,7 @@
 		f := e.Fact
 		f.Least, f.Most = max(now-e.hi, 0), max(now-e.lo, 0)
 		if bytes -= f.size(); bytes < 0 && len(d.Facts) > 0 {
-			d.UpTo, d.Whole = max(last, d.Floor), false
+			d.UpTo = max(last, d.Floor)
 			return d
 		}
 		d.Facts, last = append(d.Facts, f), e.Seq
--- a/internal/facts/fact.go
+++ b/internal/facts/fact.go
@@ -79,9 +79,9 @@
 	UpTo   uint64 `cbor:"3,keyasint"`
 	Floor  uint64 `cbor:"4,keyasint,omitempty"`
 	Facts  []Fact `cbor:"5,keyasint,omitempty"`
-	// Whole says that UpTo is where the giver's knowledge ended, and that this was as
-	// the origin's was then. Short of that a copy may lack what has been replaced since.
-	Whole bool `cbor:"6,keyasint,omitempty"`
+	// End is up to where the giver's knowledge was drawn from. Short of that a copy may
+	// lack what has been replaced since.
+	End uint64 `cbor:"6,keyasint"`
 }
 
 // Row is what a copy has of one origin: all up to Known, of which nothing stands at
@@ -124,7 +124,7 @@
 }
 
 func (d *Delta) check() error {
-	if d.Origin.Name == "" || len(d.Origin.Name) > MostName || d.Origin.Life == 0 || d.Since > d.UpTo || d.Floor > d.UpTo {
+	if d.Origin.Name == "" || len(d.Origin.Name) > MostName || d.Origin.Life == 0 || d.Since > d.UpTo || d.Floor > d.UpTo || d.End < d.UpTo {
 		return forged("a delta of %q from %d to %d over %d", d.Origin.Name, d.Since, d.UpTo, d.Floor)
 	}
 	last := d.Since
--- a/internal/replicate/catchup.go
+++ b/internal/replicate/catchup.go
@@ -71,8 +71,8 @@
 		}
 		return cmp.Or(cmp.Compare(fresh(a), fresh(b)), cmp.Compare(a.askedAt, b.askedAt))
 	})
-	for _, p := range list[:min(len(list), max(sources-asked-done, 0))] {
-		m.ask(now, p)
+	if asked == 0 && len(list) > 0 { // the second source is asked for what the first did not have
+		m.ask(now, list[0])
 	}
 }
 
--- a/internal/replicate/machine.go
+++ b/internal/replicate/machine.go
@@ -16,6 +16,7 @@
 	firstAgain = 40 * time.Millisecond // before what is not confirmed is sent again; then twice that, up to a tick
 	triesAlone = 2                     // then others are asked to pass it on
 	unknown    = time.Hour             // how long a message may have been on its way that echoes nothing
+	behindFor  = time.Second           // that a peer counts as catching up after it has said so
 	packetsAsk = 32                    // packets in answer to one question
 	askAgain   = 150 * time.Millisecond
 	hotRate    = 200 // facts a second that are sent to all at once; others go as the budget allows
@@ -172,7 +173,7 @@
 	own, seq := m.copy.Own()
 	for _, name := range m.order {
 		p := m.peers[name]
-		if p.acked >= seq || now < p.again {
+		if p.acked >= seq || now < p.again || p.behind && now-p.heard < behindFor { // one that is behind asks by itself
 			continue
 		}
 		out := m.common(p)
@@ -319,7 +320,13 @@
 			m.reached(now, p)
 		}
 	}
-	if lacks && (p.asked == 0 || now >= p.askedAt+askAgain) && !(m.behind && p.done) {
+	switch {
+	case !lacks:
+	case m.behind: // one after another: what the first gives the next need not
+		if answered && !p.done {
+			m.ask(now, p)
+		}
+	case p.asked == 0 || now >= p.askedAt+askAgain:
 		m.ask(now, p)
 	}
 }
@@ -334,6 +341,7 @@
 }
 
 // answer sends what an asker lacks by its rows, and closes with what this one has.
+// Without room for any of it nothing is said: the asker goes to another then.
 func (m *Machine) answer(now Time, p *peer, msg *Message) {
 	has := map[facts.Origin]uint64{}
 	for _, r := range msg.Rows {
@@ -346,9 +354,10 @@
 		if len(out.Deltas) == 0 {
 			return true
 		}
-		if packets++; packets > packetsAsk || !m.spend(out) {
+		if packets == packetsAsk || !m.spend(out) {
 			return false
 		}
+		packets++
 		m.send(p, out)
 		out, room = m.common(p), packet
 		return true
@@ -367,6 +376,9 @@
 		}
 		flush()
 	}()
+	if packets == 0 && len(out.Deltas) > 0 {
+		return
+	}
 	last := m.common(p)
 	last.Answer = msg.Ask
 	m.whole(last)
