Play random faults over four processes that share facts, and compare their copies

Need: that copies come together is to be seen with processes too. measure knowledge -what plays draws kills, restarts, pauses, cuts and losses for 10 s while a partner tells waits, heals all, and waits until all copies hold the same; then calls inside waits are counted by the partner's record.

--- a/cmd/measure/knowledge.go
+++ b/cmd/measure/knowledge.go
@@ -23,7 +23,7 @@
 // waits, random plays in virtual time, how long copies differ, catching up.
 func knowledge(args []string) error {
 	fs := flag.NewFlagSet("knowledge", flag.ContinueOnError)
-	what := fs.String("what", "waits", "waits, virtual, equal, catchup or bytes")
+	what := fs.String("what", "waits", "waits, plays, virtual, equal, catchup or bytes")
 	bin := fs.String("bin", "bin/cometrack", "the program")
 	plays := fs.Int("plays", 3, "of each kind, or in all")
 	parallel := fs.Int("parallel", 1, "at a time")
@@ -39,6 +39,8 @@
 	switch *what {
 	case "waits":
 		return knowledgeWaits(path, *sizes, *plays, *parallel, *seed)
+	case "plays":
+		return knowledgePlays(path, *plays, *parallel, *seed)
 	case "virtual":
 		return knowledgeVirtual(*plays, *parallel, *seed)
 	case "equal":
@@ -48,7 +50,7 @@
 	case "bytes":
 		return knowledgeBytes(*sizes, *seed)
 	}
-	return fmt.Errorf("--what %s: none of waits, virtual, equal, catchup, bytes", *what)
+	return fmt.Errorf("--what %s: none of waits, plays, virtual, equal, catchup, bytes", *what)
 }
 
 // knowledgeWaits counts by a partner's record the calls that came inside a wait that
@@ -142,6 +144,81 @@
 	return out, err
 }
 
+// knowledgePlays plays random faults over four processes while partners tell waits,
+// then heals all: the copies must come to be equal, and then nobody may call inside a
+// wait that another was told.
+func knowledgePlays(bin string, plays, parallel int, seed uint64) error {
+	const senders, length, wait, early = 4, 10 * time.Second, 3 * time.Second, 250 * time.Millisecond
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	equal, never, told, inside, failed := []time.Duration(nil), 0, 0, 0, 0
+	places := make(chan struct{}, parallel)
+	for i := range uint64(plays) {
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			err := onePlay(bin, senders, length, wait, seed+i, func(took time.Duration, ok bool, w fleet.Waits) {
+				mu.Lock()
+				defer mu.Unlock()
+				told, inside = told+w.Told, inside+w.Inside
+				if equal = append(equal, took); !ok || w.Inside > 0 {
+					fmt.Printf("seed %d: equal %v after %v; %+v\n", seed+i, ok, took, w)
+				}
+				if !ok {
+					never++
+				}
+			}, early)
+			if err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				failed++
+				fmt.Printf("seed %d: %v\n", seed+i, err)
+			}
+		})
+	}
+	group.Wait()
+	fmt.Printf("%d plays, %d that did not come about; copies that did not become equal: %d; equal after the faults: %s; of %d waits told afterwards, calls inside: %d\n",
+		plays, failed, never, fine(equal), told, inside)
+	return nil
+}
+
+func onePlay(bin string, senders int, length, wait time.Duration, seed uint64, tell func(time.Duration, bool, fleet.Waits), early time.Duration) error {
+	phases := []partner.Phase{{Mode: partner.Well, For: 500 * time.Millisecond}, {Mode: partner.Full, For: 60 * time.Millisecond}}
+	p, err := partner.Start(partner.Options{Name: "acme", Wait: wait, Phases: phases})
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	opts := fleet.Options{Program: bin, Senders: senders, Seed: seed, Cluster: `lease = "1s"`, Config: fleet.Partners(p)}
+	return inDir(opts, func(opts fleet.Options) error {
+		f, err := fleet.Start(opts)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if _, ok := f.Until(clusterPatience, fleet.AllHere); !ok {
+			return fmt.Errorf("the senders did not meet")
+		}
+		feed, stop, done := &fleet.Feed{Partner: "acme", Class: "safe", Rate: 5}, make(chan struct{}), make(chan struct{})
+		go func() { feed.Run(f, stop); close(done) }()
+		defer func() { close(stop); <-done }()
+		script := fleet.DrawScript(seed, senders, length)
+		if err := f.Play(&script); err != nil {
+			return err
+		}
+		took, ok := f.TellAlike(20 * time.Second)
+		if _, ok := f.Until(clusterPatience, fleet.AllHere); !ok {
+			return fmt.Errorf("the senders did not meet again")
+		}
+		until := time.Now().Add(wait) // those that were told before may still hold
+		f.Until(wait, func([]fleet.Seen) bool { return time.Now().After(until) })
+		n := len(p.Calls())
+		f.Until(2*wait, func([]fleet.Seen) bool { return false })
+		tell(took, ok, fleet.InWaits(p.Calls()[n:], wait, early))
+		return nil
+	})
+}
+
 // knowledgeOptions are those of plays in virtual time.
 func knowledgeOptions(seed uint64) play.Options {
 	return play.Options{Seed: seed, Senders: 2 + int(seed%5), Every: 100 * time.Millisecond, Rate: 1 << 20, Drift: 0.01,
--- a/internal/standin/fleet/knowledge.go
+++ b/internal/standin/fleet/knowledge.go
@@ -1,8 +1,14 @@
 package fleet
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
 	"time"
 
+	"cometrack/internal/cluster"
+	"cometrack/internal/console"
 	"cometrack/internal/standin/partner"
 )
 
@@ -56,3 +62,49 @@
 	}
 	return true
 }
+
+// Told is what each sender that runs holds to be said of partners, but for what is
+// about to end: by its clock it may be over while by another it is not.
+func (f *Fleet) Told() (out []map[string]bool, err error) {
+	const nearly = 0.5 // seconds
+	for _, s := range f.senders {
+		if !s.Running() {
+			continue
+		}
+		ctx, stop := context.WithTimeout(context.Background(), askTime)
+		text, err := console.Ask(ctx, s.Console, "GET", "/cluster/facts")
+		stop()
+		var told cluster.Told
+		if err == nil {
+			err = json.Unmarshal([]byte(text), &told)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", s.Name, err)
+		}
+		set := map[string]bool{}
+		for _, x := range told.Facts {
+			if x.Left > nearly {
+				set[fmt.Sprint(x.Kind, x.Partner, x.Endpoint, x.Says, x.By, x.Number)] = true
+			}
+		}
+		out = append(out, set)
+	}
+	return out, nil
+}
+
+// TellAlike waits until all senders that run hold the same to be said of partners, at
+// most d; it returns how long that took and whether it came about.
+func (f *Fleet) TellAlike(d time.Duration) (time.Duration, bool) {
+	return f.Until(d, func(list []Seen) bool {
+		if !Knowing(list) {
+			return false
+		}
+		told, err := f.Told()
+		for i := range told {
+			if !maps.Equal(told[0], told[i]) {
+				return false
+			}
+		}
+		return err == nil && len(told) == len(f.senders)
+	})
+}
