Test each way by which facts come alone; let no copy but the teller's own end a wait early

The check is tight now, and TestWays and TestDrawnFrom look at one way at a time: sent again, passed on, digests, what binds first, a pause of one's own, what a part was drawn from.

--- a/internal/facts/copy_test.go
+++ b/internal/facts/copy_test.go
@@ -288,6 +288,39 @@
 	}
 }
 
+// A copy that had a part of a later giver's facts, and then all of an earlier giver's,
+// says that it is not as the origin was until it has what the part was drawn from.
+// Nobody else writes a sender's own facts.
+func TestDrawnFrom(t *testing.T) {
+	a, b, c, d := New(Origin{"a", 1}, "", 0), New(Origin{"b", 2}, "", 0), New(Origin{"c", 3}, "", 0), New(Origin{"d", 4}, "", 0)
+	own, _ := a.Own()
+	pass := func(from, to *Copy, since uint64, bytes int) {
+		x := from.Since(sec, own, since, bytes)
+		if _, err := to.Merge(sec, &x, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, ep := range []string{"x", "y", "z"} {
+		a.Tell(sec, wait(ep), Value{}, 0, 9*sec)
+	}
+	pass(a, b, 0, 1<<20) // b knows 1 to 3
+	a.Tell(sec, wait("x"), Value{}, 0, 9*sec)
+	pass(a, c, 0, 1)     // c knows 1 to 2 as they are by now: x is told anew, as number 4
+	pass(b, c, 2, 1<<20) // and 3
+	if row := c.Digest()[0]; row.Known != 3 || row.Sum != 0 {
+		t.Errorf("%+v; its sum may not count", row)
+	}
+	pass(a, c, 3, 1<<20)
+	pass(a, d, 0, 1<<20)
+	if x, y := c.Digest()[0], d.Digest()[0]; x != y || x.Sum == 0 {
+		t.Errorf("%+v, %+v", x, y)
+	}
+	forged := Delta{Origin: own, UpTo: 99, End: 99, Facts: []Fact{{Seq: 99, Subject: wait("q"), For: sec}}}
+	if list, _ := a.Merge(sec, &forged, 0); len(list) != 0 || a.Len() != 3 {
+		t.Errorf("another has written facts of a: %v", list)
+	}
+}
+
 // What one sender tells is bounded: of 10,000 changes of ten subjects ten stand, ended
 // facts beneath one that lasts are dropped, and a copy refuses what it has no room for.
 func TestBounds(t *testing.T) {
--- /dev/null
+++ b/internal/replicate/play/cases_test.go
@@ -0,0 +1,76 @@
+package play
+
+import (
+	"testing"
+	"time"
+)
+
+// calm is a world whose digests come every ten seconds, so that what reaches a copy
+// sooner has come by other ways.
+func calm(n int, with ...func(*Options)) *World {
+	o := Options{Seed: 1, Senders: n, Every: 10 * time.Second, Rate: 1e6, Delay: time.Millisecond}
+	for _, f := range with {
+		f(&o)
+	}
+	w := New(o)
+	w.Run(time.Second)
+	return w
+}
+
+// knows waits until a process has a fact of each of so many endpoints.
+func knows(w *World, i, n int, d time.Duration) (time.Duration, bool) {
+	return w.Until(d, func() bool { return w.Procs[i].Machine.Copy().Len() >= n })
+}
+
+// What gets lost is sent again, by another sender if need be, or found by digests;
+// what binds does not wait behind what does not fit into the bytes a second; and one
+// that was paused is behind until it has asked.
+func TestWays(t *testing.T) {
+	w := calm(2)
+	w.Lose(0, 1, 1)
+	w.Wait(0, "a", time.Hour)
+	w.Run(30 * time.Millisecond)
+	w.Heal()
+	if took, ok := knows(w, 1, 1, 200*time.Millisecond); !ok {
+		t.Errorf("a lost message was not sent again within %v", took)
+	}
+
+	w = calm(3)
+	w.Cut(0, 1, true)
+	w.Wait(0, "a", time.Hour)
+	if took, ok := knows(w, 1, 1, time.Second); !ok {
+		t.Errorf("one that is cut off from the teller only has not heard within %v", took)
+	}
+
+	w = calm(3, func(o *Options) { o.Every = 100 * time.Millisecond })
+	w.Cut(0, 1, true)
+	w.Cut(2, 1, true)
+	w.Wait(0, "a", time.Hour)
+	w.Run(time.Second)
+	w.Kill(0)
+	w.Heal()
+	if took, ok := knows(w, 1, 1, 3*time.Second); !ok {
+		t.Errorf("what a dead sender had told has not come by digests within %v", took)
+	}
+
+	w = calm(2, func(o *Options) { o.Rate = 10 })
+	w.Fill(0, 400, time.Hour) // more than goes out at once, and than there are bytes for
+	w.Run(2 * time.Second)
+	had := w.Procs[1].Machine.Copy().Len()
+	w.Wait(0, "now", time.Hour)
+	if _, ok := knows(w, 1, had+1, 20*time.Millisecond); !ok || had >= 400 {
+		t.Errorf("what binds waits behind %d others", 400-had)
+	}
+
+	w = calm(2, func(o *Options) { o.Every = 100 * time.Millisecond })
+	w.Cut(0, 1, true)
+	w.Cut(1, 0, true)
+	w.Pause(1, time.Second)
+	w.Run(1100 * time.Millisecond)
+	if behind, _ := w.Procs[1].Machine.Behind(); !behind {
+		t.Error("one that was paused, and can ask nobody, takes itself to know")
+	}
+	if w.Run(2 * time.Second); w.Procs[1].Caught == 0 || w.Procs[1].Machine.Alone != 1 {
+		t.Error("whom nobody answers does not go on alone")
+	}
+}
--- a/internal/replicate/play/world.go
+++ b/internal/replicate/play/world.go
@@ -275,7 +275,11 @@
 			}
 			left := x.until - w.Now
 			drift := time.Duration(8 * w.opts.Drift * float64(w.Now-x.at+left))
-			if s.Left < left-time.Microsecond-drift/8 {
+			least := left - time.Microsecond
+			if s.Origin == p.Own { // it has nothing but its own clock
+				least -= drift / 8
+			}
+			if s.Left < least {
 				w.Early++
 			}
 			if past := s.Left - max(left, 0) - drift; past > way && left > 0 {
@@ -290,8 +294,7 @@
 // force and were told before a time.
 func (w *World) Lack(before time.Duration) (n int) {
 	for d, x := range w.waits {
-		fast := time.Duration(w.opts.Drift * float64(x.until-x.at)) // by its teller's clock it may be over
-		if x.at >= before || x.until-fast <= w.Now || !w.newest(d, x) {
+		if x.at >= before || x.until <= w.Now || !w.newest(d, x) {
 			continue
 		}
 		for _, p := range w.Procs {
