Keep the longest told wait over a restart: a shorter one that came later took its place

Seen by TestOthers, which has a core told waits of an hour and then of a second by other senders: after a restart nothing held.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -288,7 +288,7 @@
 			j.mark(e.ID, markMessage|markState) // part of it may have been written
 		}
 	case OpWait:
-		j.waits[rec.ID] = rec.At
+		j.waits[rec.ID] = max(j.waits[rec.ID], rec.At) // a shorter one takes nothing back
 		j.dirtyWaits[rec.ID] = true
 		if len(j.waits) > mostWaits {
 			j.dropWaits(time.Now())
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -124,7 +124,8 @@
 	j := openJournal(t, fs, plain)
 	now := time.Now()
 	mustAppend(t, j, Record{Op: OpWait, ID: "over", At: now.Add(-time.Second).UnixMicro()}, accept("wopen", 1),
-		Record{Op: OpWait, ID: "open", At: now.Add(time.Second).UnixMicro()}, Record{Op: OpWait, ID: "open", At: now.Add(time.Hour).UnixMicro()})
+		Record{Op: OpWait, ID: "open", At: now.Add(time.Second).UnixMicro()}, Record{Op: OpWait, ID: "open", At: now.Add(time.Hour).UnixMicro()},
+		Record{Op: OpWait, ID: "open", At: now.Add(time.Minute).UnixMicro()})
 	j = reopen(t, j, fs)
 	if got := j.Waits(); len(got) != 1 || got["open"] != now.Add(time.Hour).UnixMicro() || j.Len() != 1 {
 		t.Errorf("%v, %d messages", got, j.Len())
