--- a/cmd/measure/knowledge.go
+++ b/cmd/measure/knowledge.go
@@ -23,7 +23,7 @@
 // waits, random plays in virtual time, how long copies differ, catching up.
 func knowledge(args []string) error {
 	fs := flag.NewFlagSet("knowledge", flag.ContinueOnError)
-	what := fs.String("what", "waits", "waits, plays, virtual, equal, catchup or bytes")
+	what := fs.String("what", "waits", "waits, outage, plays, virtual, equal, catchup or bytes")
 	bin := fs.String("bin", "bin/cometrack", "the program")
 	plays := fs.Int("plays", 3, "of each kind, or in all")
 	parallel := fs.Int("parallel", 1, "at a time")
@@ -39,6 +39,8 @@
 	switch *what {
 	case "waits":
 		return knowledgeWaits(path, *sizes, *plays, *parallel, *seed)
+	case "outage":
+		return knowledgeOutage(path, *sizes, *plays)
 	case "plays":
 		return knowledgePlays(path, *plays, *parallel, *seed)
 	case "virtual":
@@ -50,7 +52,7 @@
 	case "bytes":
 		return knowledgeBytes(*sizes, *seed)
 	}
-	return fmt.Errorf("--what %s: none of waits, plays, virtual, equal, catchup, bytes", *what)
+	return fmt.Errorf("--what %s: none of waits, outage, plays, virtual, equal, catchup, bytes", *what)
 }
 
 // knowledgeWaits counts by a partner's record the calls that came inside a wait that
@@ -144,6 +146,79 @@
 	return out, err
 }
 
+// knowledgeOutage counts the calls at a partner that refuses all for a while, and how
+// soon they come once it is back.
+func knowledgeOutage(bin, sizes string, plays int) error {
+	const out = 8 * time.Second
+	fmt.Println("| senders | facts | calls a second while it is out, after the first second (each play) | from its return to the first call | to half of its rate |")
+	fmt.Println("| --- | --- | --- | --- | --- |")
+	list, err := numbers(sizes)
+	if err != nil {
+		return err
+	}
+	for _, n := range list {
+		for _, shared := range []bool{false, true} {
+			if n == 1 && shared {
+				continue
+			}
+			var rates []string
+			var first, half []time.Duration
+			for range plays {
+				p, err := partner.Start(partner.Options{Name: "acme", Rate: 100})
+				if err != nil {
+					return err
+				}
+				opts := fleet.Options{Program: bin, Senders: n, Config: fleet.Partners(p), Cluster: fmt.Sprintf("lease = \"1s\"\nfacts = %v", shared)}
+				if n == 1 {
+					opts.Cluster = "off"
+				}
+				err = inDir(opts, func(opts fleet.Options) error {
+					f, err := fleet.Start(opts)
+					if err != nil {
+						return err
+					}
+					defer f.Close()
+					if _, ok := f.Until(clusterPatience, fleet.AllHere); n > 1 && !ok {
+						return fmt.Errorf("the senders did not meet")
+					}
+					feed, stop, done := &fleet.Feed{Partner: "acme", Class: "safe", Rate: 120 / float64(n)}, make(chan struct{}), make(chan struct{})
+					go func() { feed.Run(f, stop); close(done) }()
+					span := func(d time.Duration) { f.Until(d, func([]fleet.Seen) bool { return false }) }
+					span(2 * time.Second)
+					p.Set(partner.Full)
+					span(time.Second)
+					from := time.Now()
+					span(out - time.Second)
+					back := time.Now()
+					p.Set(partner.Well)
+					span(20 * time.Second)
+					close(stop)
+					<-done
+					calls := p.Calls()
+					rates = append(rates, fmt.Sprintf("%.1f", fleet.Took(calls, "", from, back)))
+					at, busy := 20*time.Second, 20*time.Second
+					for _, c := range calls {
+						if d := c.At.Sub(back); d > 0 && c.Status == 200 {
+							at = min(at, d)
+							if fleet.Took(calls, "", c.At, c.At.Add(500*time.Millisecond)) >= 50 {
+								busy = min(busy, d)
+							}
+						}
+					}
+					first, half = append(first, at), append(half, busy)
+					return nil
+				})
+				p.Close()
+				if err != nil {
+					return err
+				}
+			}
+			fmt.Printf("| %d | %v | %s | %s | %s |\n", n, shared, strings.Join(rates, ", "), fine(first), fine(half))
+		}
+	}
+	return nil
+}
+
 // knowledgePlays plays random faults over four processes while partners tell waits,
 // then heals all: the copies must come to be equal, and then nobody may call inside a
 // wait that another was told.
