--- a/internal/facts/copy_test.go
+++ b/internal/facts/copy_test.go
@@ -243,8 +243,6 @@
 		"over at once":    fact(func(f *Fact) { f.For = 0 }),
 		"from the future": fact(func(f *Fact) { f.Least = -1 }),
 		"ages crossed":    fact(func(f *Fact) { f.Least, f.Most = 2, 1 }),
-		"no pace":         fact(func(f *Fact) { f.Subject.Kind, f.Value.Pace = Limit, math.NaN() }),
-		"a high pace":     fact(func(f *Fact) { f.Subject.Kind, f.Value.Pace = Limit, 2 }),
 		"many covers":     fact(func(f *Fact) { f.Value.Covers = make([]Dot, MostCovers+1) }),
 		"much more":       fact(func(f *Fact) { f.Value.More = make([]byte, MostValue+1) }),
 		"no origin":       with(func(d *Delta) { d.Origin.Name = "" }),
--- a/internal/facts/fact.go
+++ b/internal/facts/fact.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"math"
 	"time"
 )
 
@@ -21,7 +20,6 @@
 const (
 	Wait   Kind = iota + 1 // an endpoint has told to be left alone; For says how long
 	Health                 // a sender has found an endpoint out, or has had an answer since
-	Limit                  // a sender was refused, and goes at Pace of its part since
 )
 
 // Bounds of a fact.
@@ -53,10 +51,9 @@
 
 // Value is what a fact says, by its kind.
 type Value struct {
-	Out    bool    `cbor:"1,keyasint,omitempty"` // Health: it is out
-	Covers []Dot   `cbor:"2,keyasint,omitempty"` // Health: an answer came to a call that was begun when these were known
-	Pace   float64 `cbor:"3,keyasint,omitempty"` // Limit: of its part, above 0 and at most 1
-	More   []byte  `cbor:"4,keyasint,omitempty"` // of kinds that are not known here
+	Out    bool   `cbor:"1,keyasint,omitempty"` // Health: it is out
+	Covers []Dot  `cbor:"2,keyasint,omitempty"` // Health: an answer came to a call that was begun when these were known
+	More   []byte `cbor:"4,keyasint,omitempty"` // of kinds that are not known here
 }
 
 // Fact is one fact as it travels. Ages are those when it was sent: the least and the
@@ -115,10 +112,6 @@
 		return forged("its age is %v to %v", f.Least, f.Most)
 	case len(v.Covers) > MostCovers || len(v.More) > MostValue:
 		return forged("a value of over %d dots or %d bytes", MostCovers, MostValue)
-	case s.Kind == Limit && !(v.Pace > 0 && v.Pace <= 1): // NaN too
-		return forged("a pace of %v", v.Pace)
-	case s.Kind != Limit && math.IsNaN(v.Pace):
-		return forged("a pace that is no number")
 	}
 	return nil
 }
@@ -153,7 +146,7 @@
 // hash tells facts of one origin apart, whatever their age.
 func (f *Fact) hash() uint64 {
 	h := fnv.New64a()
-	fmt.Fprintf(h, "%d %d %t %g %d ", f.Seq, f.Subject.Kind, f.Value.Out, f.Value.Pace, len(f.Value.Covers))
+	fmt.Fprintf(h, "%d %d %t %d ", f.Seq, f.Subject.Kind, f.Value.Out, len(f.Value.Covers))
 	for _, s := range []string{f.Subject.Partner, f.Subject.Endpoint, f.Zone, string(f.Value.More)} {
 		io.WriteString(h, s)
 		h.Write([]byte{0})
--- a/internal/facts/rules.go
+++ b/internal/facts/rules.go
@@ -11,11 +11,10 @@
 // fields after Subject those of its kind are set.
 type Lesson struct {
 	Subject
-	Left Time    // Wait: until its end
-	Out  bool    // Health: somebody has found it out, and nobody here has had an answer since
-	Back bool    // Health: that holds no longer
-	Pace float64 // Limit
-	By   string  // who has it from the partner
+	Left Time   // Wait: until its end
+	Out  bool   // Health: somebody has found it out, and nobody here has had an answer since
+	Back bool   // Health: that holds no longer
+	By   string // who has it from the partner
 	// Mark is to be given back with what this sender finds itself; see [Copy.Cover].
 	Mark uint64
 }
@@ -55,11 +54,6 @@
 				if e.Value.Out && !c.covered(s, e.dot()) {
 					is.out, is.mark, lesson.By = true, e.arrived, e.from.Name
 				}
-			case Limit: // the lowest of those that are news
-				if e.arrived > was.mark && (lesson.Pace == 0 || e.Value.Pace < lesson.Pace) {
-					lesson.Pace, lesson.By = e.Value.Pace, e.from.Name
-				}
-				is.mark = max(is.mark, e.arrived)
 			}
 		}
 		lesson.Mark = c.arrival
@@ -72,7 +66,7 @@
 		switch {
 		case s.Kind == Wait && is.wait <= was.wait+1e6: // by another way, or a shorter one
 			is.wait = max(was.wait, is.wait)
-		case s.Kind == Wait, lesson.Out, lesson.Back, lesson.Pace > 0:
+		case s.Kind == Wait, lesson.Out, lesson.Back:
 			out = append(out, lesson)
 		}
 		if len(c.subject[s]) == 0 {
@@ -154,8 +148,6 @@
 			out[i].Holds = first
 		case Health:
 			out[i].Holds = out[i].Value.Out && !out[i].Covered
-		case Limit:
-			out[i].Holds = true
 		}
 	}
 	return out
