Measure a flood of facts, and send garbage as packets of facts

Packets with a bad seal are dropped and counted as those of the view; of 4,000 with one bit flipped under a good seal none brings a copy to hold what no sender could say.

--- a/cmd/measure/knowledge.go
+++ b/cmd/measure/knowledge.go
@@ -405,6 +405,9 @@
 func knowledgeCatchUp(seed uint64) error {
 	fmt.Println("| facts | caught up after | bytes sent by all meanwhile | a fact | givers killed half-way: caught up after |")
 	fmt.Println("| --- | --- | --- | --- | --- |")
+	if err := knowledgeFlood(seed); err != nil {
+		return err
+	}
 	for _, n := range []int{100, 10_000, 100_000} {
 		took := [2]time.Duration{}
 		bytes := int64(0)
@@ -442,6 +445,32 @@
 	return nil
 }
 
+// knowledgeFlood has 10,000 facts told in a second, and a wait in the midst of them.
+func knowledgeFlood(seed uint64) error {
+	const all = 10_000
+	o := knowledgeOptions(seed)
+	o.Senders, o.Drift = 5, 0
+	w := play.New(o)
+	w.Run(time.Second)
+	var known []time.Duration
+	from := w.Now
+	for i := range 100 {
+		w.Fill(0, all/100*(i+1), time.Hour) // and all before once more
+		at := w.Now
+		w.Wait(1, fmt.Sprint("now", i), time.Hour)
+		took, _ := w.Until(10*time.Second, func() bool { return w.Knows(1) })
+		known = append(known, took)
+		w.Run(max(10*time.Millisecond-(w.Now-at), 0))
+	}
+	told := w.Now - from
+	if _, ok := w.Until(time.Minute, func() bool { return w.Full(all + 100) }); !ok {
+		return fmt.Errorf("not all have %d facts", all)
+	}
+	fmt.Printf("%d facts and half a million changes of them told within %v by one sender of five: all have all after %v; a wait told meanwhile by another is known by all after %s\n\n",
+		all, told.Round(time.Millisecond), (w.Now - from).Round(time.Millisecond), fine(known))
+	return nil
+}
+
 // knowledgeBytes measures what is sent in a calm minute, and the memory of a copy.
 func knowledgeBytes(sizes string, seed uint64) error {
 	list, err := numbers(sizes)
--- a/internal/cluster/packet_test.go
+++ b/internal/cluster/packet_test.go
@@ -7,7 +7,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"cometrack/internal/facts"
+	"cometrack/internal/replicate"
 	"cometrack/internal/view"
 )
 
@@ -56,6 +59,47 @@
 	})
 }
 
+// Packets of facts have their own seal: one of the view with its magic number changed
+// is none. Whatever comes with a good seal does no harm, and what makes no sense
+// changes no copy.
+func TestFactPackets(t *testing.T) {
+	key := keys{[]byte("one key of many letters")}
+	own, other := facts.Origin{Name: "a", Life: 1}, facts.Origin{Name: "b", Life: 2}
+	good := &replicate.Message{Wire: replicate.Wire, From: other, Stamp: 1, Deltas: []facts.Delta{{Origin: other, UpTo: 1, End: 1,
+		Facts: []facts.Fact{{Seq: 1, Subject: facts.Subject{Kind: facts.Wait, Partner: "acme", Endpoint: "e"}, For: time.Second}}}}}
+	whole, err := key.packAs(lore, good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := key.open(whole, &replicate.Message{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := key.unpack(whole, &view.Message{}); !errors.Is(err, errForeign) {
+		t.Errorf("as one of the view: %v", err)
+	}
+	turned, _ := key.pack(&view.Message{Wire: 1, From: "a", ID: 1})
+	copy(turned, lore)
+	if err := key.open(turned, &replicate.Message{}); !errors.Is(err, errKey) {
+		t.Errorf("one of the view, turned: %v", err)
+	}
+	for i := range 4000 { // flipped behind the seal, as one with the key might send it
+		m, b := replicate.New(replicate.Config{Own: own, Every: time.Second, Patience: time.Second, Rate: 1}, 0), bytes.Clone(whole)
+		m.Peers([]replicate.Peer{{Name: "b", Addr: "b:1"}})
+		bit := headSize*8 + i%(8*(len(b)-headSize))
+		b[bit/8] ^= 1 << (bit % 8)
+		copy(b[len(lore):headSize], sealAs(lore, key[0], b[headSize:]))
+		got := &replicate.Message{}
+		if key.open(b, got) == nil {
+			m.Take(2, got)
+			for _, s := range m.Copy().List(2, "", 10) {
+				if s.Left > facts.MostFor || s.Partner == "" {
+					t.Fatalf("bit %d: %+v", bit, s)
+				}
+			}
+		}
+	}
+}
+
 // A folder's file that is broken anywhere is no folder: the sender joins as a
 // stranger. A file of keys says its line.
 func TestFiles(t *testing.T) {
--- a/internal/replicate/play/world.go
+++ b/internal/replicate/play/world.go
@@ -171,6 +171,17 @@
 	}
 }
 
+// Knows says whether all that run know all that a sender has told.
+func (w *World) Knows(i int) bool {
+	own, seq := w.Procs[i].Machine.Copy().Own()
+	for _, p := range w.running() {
+		if p.Machine.Copy().Known(own) < seq {
+			return false
+		}
+	}
+	return true
+}
+
 // Full says whether all that run have so many facts.
 func (w *World) Full(n int) bool {
 	for _, p := range w.running() {
--- a/internal/standin/fleet/faults_test.go
+++ b/internal/standin/fleet/faults_test.go
@@ -210,9 +210,11 @@
 	}
 	defer out.Close()
 	before := memory(t, f.Senders()[1].PID())
-	packet := append([]byte("cmtk1"), make([]byte, 16+400)...)
+	packet, lore := append([]byte("cmtk1"), make([]byte, 16+400)...), append([]byte("cmtf1"), make([]byte, 16+400)...)
 	for i := range 20_000 {
-		switch i % 4 {
+		switch i % 5 {
+		case 4: // what is known of partners, without a key
+			out.Write(lore)
 		case 0:
 			out.Write([]byte("garbage"))
 		case 1:
