Bound what is kept of others' reports on a sender to 32; measure processor time of calm senders

Need: each process kept a report of each sender on each other one, a million at a thousand senders. The newest 32 tell as well whether somebody hears it; up to 33 senders nothing changes. measure platform adds processor time to be ready and with two seconds of calm.

--- a/cmd/measure/platform.go
+++ b/cmd/measure/platform.go
@@ -24,6 +24,16 @@
 "retry_after":true},"rules":{"cold_from":0.2,"drain_grace_s":2,"fall_multiple":2,"fall_s":3,"warm_after_s":14},
 "specifics":{"batch_by_kind":[1],"call_slots":60,"late":"halves","separate_routes":[false]}}`
 
+// calmTime is how long a sender that has nothing to do is watched.
+const calmTime = 2 * time.Second
+
+// spent ends a process and tells its processor time.
+func (p *process) spent() float64 {
+	p.Cmd.Process.Kill()
+	p.Wait()
+	return float64((p.Cmd.ProcessState.UserTime() + p.Cmd.ProcessState.SystemTime()).Microseconds()) / 1000
+}
+
 // platform measures start-up and memory of the platform's sender for several
 // programs, in turns: fresh, and after a number of messages.
 func platform(args []string) error {
@@ -45,7 +55,7 @@
 		}
 	}))
 	defer discovery.Close()
-	type figures struct{ start, fresh, used []float64 }
+	type figures struct{ start, fresh, used, begin, calm []float64 }
 	all := map[string]*figures{}
 	for range *turns {
 		for _, bin := range fs.Args() {
@@ -79,18 +89,29 @@
 				return fmt.Errorf("%s: %w", bin, err)
 			}
 			f.used = append(f.used, p.memory())
-			x.Cmd.Process.Kill()
-			x.Wait()
+			p.spent()
+			for _, idle := range []time.Duration{0, calmTime} {
+				if x, err = program.Start(bin, []string{"BALANCER_CONFIG=" + path, "BALANCER_STATE=" + dir, "BALANCER_LISTEN=127.0.0.1:0"}); err != nil {
+					return err
+				}
+				time.Sleep(idle)
+				ran := (&process{x, dir}).spent()
+				if idle == 0 {
+					f.begin = append(f.begin, ran)
+				} else {
+					f.calm = append(f.calm, ran)
+				}
+			}
 		}
 	}
 	median := func(v []float64) float64 {
 		slices.Sort(v)
 		return v[len(v)/2]
 	}
-	fmt.Printf("%-28s %14s %14s %20s\n", "program", "ready in, ms", "fresh, MB", "after messages, MB")
+	fmt.Printf("%-28s %14s %14s %20s %22s %22s\n", "program", "ready in, ms", "fresh, MB", "after messages, MB", "ms of CPU to be ready", "and with 2 s of calm")
 	for _, bin := range fs.Args() {
 		f := all[bin]
-		fmt.Printf("%-28s %14.1f %14.2f %20.2f\n", filepath.Base(filepath.Dir(bin))+"/"+filepath.Base(bin), median(f.start), median(f.fresh), median(f.used))
+		fmt.Printf("%-28s %14.1f %14.2f %20.2f %22.2f %22.2f\n", filepath.Base(filepath.Dir(bin))+"/"+filepath.Base(bin), median(f.start), median(f.fresh), median(f.used), median(f.begin), median(f.calm))
 	}
 	return nil
 }
--- a/internal/view/seat.go
+++ b/internal/view/seat.go
@@ -265,15 +265,33 @@
 		if r.End != Lives && s.end == Lives && now-s.heard > m.fresh()/2 {
 			m.ends(now, s, r.End, "as "+by.Name+" found")
 		}
-		s.reports[by.Name] = report{r.Hears && r.End == Lives, now}
+		s.reported(by.Name, report{r.Hears && r.End == Lives, now})
 	case r.Incarnation > s.Incarnation && r.End == Lives:
 		s.hint = r.Addr
-		s.reports[by.Name] = report{r.Hears, now}
+		s.reported(by.Name, report{r.Hears, now})
 	}
 }
 
-// reported says whether another sender that is heard hears s.
-func (m *Machine) reported(now Time, s *seat) bool {
+// mostReports bounds those that are kept of one sender, the newest: enough for some
+// that hear it to be among them, and their number does not grow with the fleet.
+const mostReports = 32
+
+// reported keeps what another sender says of s.
+func (s *seat) reported(by string, r report) {
+	if _, again := s.reports[by]; !again && len(s.reports) >= mostReports {
+		oldest, at := "", r.at
+		for name, x := range s.reports {
+			if x.at < at || oldest == "" {
+				oldest, at = name, x.at
+			}
+		}
+		delete(s.reports, oldest)
+	}
+	s.reports[by] = r
+}
+
+// heardElsewhere says whether another sender that is heard hears s.
+func (m *Machine) heardElsewhere(now Time, s *seat) bool {
 	span := max(2*m.fresh(), Time(2+len(m.seats)/MostRows)*2*m.cfg.Every)
 	for by, r := range s.reports {
 		x := m.seats[by]
@@ -340,7 +358,7 @@
 			default:
 				m.becomes(now, s, Joining, "heard")
 			}
-		case m.reported(now, s):
+		case m.heardElsewhere(now, s):
 			m.becomes(now, s, Unreachable, fmt.Sprintf("not heard here for %v; heard by %s", m.age(now, s), strings.Join(m.hearers(now, s, true), ", ")))
 		case s.heard != never || now-m.base > m.fresh():
 			by := m.hearers(now, s, false)
