Keep waits that were heard of endpoints until the list tells of them

Need: with a list that changes while daemons run, one may hear of a wait before it has the endpoint, and then call it. Waits of unknown endpoints are kept until they are over, 1,000 at most. TestOthers fails without the look at the list's news.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,6 +101,7 @@
 	dir      *directory
 	part     float64                     // of each rate that the weights are made for
 	marks    map[logic.EndpointID]uint64 // of the last lesson that the module was told
+	early    map[string]earlyWait        // by endpoint
 	heard    bool                        // the source itself has told of a list, in the life of this process
 	due      *time.Timer
 	token    uint64
@@ -134,7 +135,7 @@
 	if parts.Life == nil {
 		parts.Life = lifecycle.NewLife(Times, parts.Log)
 	}
-	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, from: parts.From, afar: map[string]*held{}, log: parts.Log, store: parts.Store,
+	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, early: map[string]earlyWait{}, from: parts.From, afar: map[string]*held{}, log: parts.Log, store: parts.Store,
 		transport: parts.Transport, source: parts.Source, sink: parts.Sink, sender: sender,
 		events: make(chan any, eventRoom), done: make(chan struct{}), ready: make(chan struct{}),
 		dir: newDirectory(cfg.Zones, cfg.Settings.Kinds), start: time.Now(), due: time.NewTimer(time.Hour),
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -123,6 +123,7 @@
 		}
 	}
 	c.dir.forget(now, calls, partners)
+	c.listed(now)
 	for id := range c.marks {
 		if _, ok := c.dir.eps[id]; !ok {
 			delete(c.marks, id)
@@ -276,5 +277,6 @@
 		}
 	}
 	c.next = append(c.next, logic.Endpoints{Form: form, Entries: rows})
+	c.listed(time.Now())
 	c.recall()
 }
--- a/internal/core/others.go
+++ b/internal/core/others.go
@@ -23,12 +23,25 @@
 	c.others.Tell(l)
 }
 
+// mostEarly bounds waits that are kept of endpoints that are not on the list.
+const mostEarly = 1000
+
+// earlyWait is a wait that was heard of an endpoint before the list told of that.
+type earlyWait struct {
+	partner string
+	until   time.Time
+}
+
 // hears takes what others have learnt. What concerns an endpoint that is not on the
-// list, or has another partner there, is not for this sender.
+// list, or has another partner there, is not for this sender; but waits are kept in
+// case it comes.
 func (c *Core) hears(list []Lesson) {
 	for _, l := range list {
 		id, ok := c.dir.ids[l.Endpoint]
 		if !ok || c.dir.eps[id].partner != l.Partner {
+			if at := time.Now().Add(l.Wait); l.Wait > 0 && (len(c.early) < mostEarly || c.early[l.Endpoint].partner != "") {
+				c.early[l.Endpoint] = earlyWait{l.Partner, at}
+			}
 			continue
 		}
 		if l.Wait > 0 {
@@ -41,6 +54,22 @@
 	}
 }
 
+// listed takes up waits of endpoints that have come onto the list since they were
+// heard, and drops those that are over.
+func (c *Core) listed(now time.Time) {
+	for name, x := range c.early {
+		id, ok := c.dir.ids[name]
+		switch {
+		case !now.Before(x.until):
+			delete(c.early, name)
+		case ok && c.dir.eps[id].partner == x.partner:
+			delete(c.early, name)
+			c.next = append(c.next, logic.Told{Endpoint: id, Left: micros(x.until.Sub(now))})
+			c.waits(id, x.until.Sub(now))
+		}
+	}
+}
+
 // waits keeps calls that have not begun from going to where a wait was told, and has
 // it outlive this process.
 func (c *Core) waits(ep logic.EndpointID, d time.Duration) {
--- a/internal/core/others_test.go
+++ b/internal/core/others_test.go
@@ -37,6 +37,7 @@
 	}
 	r := start()
 	others.say <- Lesson{Partner: "acme", Endpoint: "e9", Wait: time.Hour}
+	others.say <- Lesson{Partner: "later", Endpoint: "e8", Wait: time.Hour}
 	others.say <- Lesson{Partner: "other", Endpoint: "e1", Wait: time.Hour}
 	const wait = 400 * time.Millisecond
 	at := time.Now()
@@ -63,9 +64,18 @@
 		t.Errorf("told %+v", l)
 	}
 
+	r.post(News{List: List{Endpoints: []Endpoint{{Name: "e8", Addr: "h:8", Zone: "a", Kind: "std", Partner: "later", Weight: 1000}}}}) // it comes onto the list
+	d := newMessage("d", "safe")
+	d.Partner = "later"
+	r.put(d)
 	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Wait: time.Hour}
 	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Wait: time.Second}
 	r.put(newMessage("c", "safe")) // the journal has it by now
+	select { // nothing goes to either endpoint
+	case in := <-r.hand.attempts:
+		t.Errorf("%s was sent to endpoint %d", in.Message.ID, in.Endpoint)
+	case <-time.After(100 * time.Millisecond):
+	}
 	r.halt()
 	r = start()
 	if l := byhand.Await(t, others.told, "lesson"); l.Wait < 50*time.Minute || l.Endpoint != "e1" {
