Have one sender at a time try an endpoint that is out: the others a quarter as often, together

Need: trials at a partner that is out grow with the senders that have messages for it. Those who find it out are known to all by their facts; the first of them by a hash of its name and the endpoint's tries as one alone would, each other one 4n times more rarely; whom the turn comes to tries soon, and an answer brings all others' trials forward. No lease stands on it: a turn that two believe in costs a trial. TestTurns: one turn for each of 400 endpoints, spread within a factor of two over eight senders; only those of one that goes move. FNV's high bits did not spread names; xxhash does.

--- a/cmd/measure/knowledge.go
+++ b/cmd/measure/knowledge.go
@@ -149,8 +149,8 @@
 // knowledgeOutage counts the calls at a partner that refuses all for a while, and how
 // soon they come once it is back.
 func knowledgeOutage(bin, sizes string, plays int) error {
-	const out = 8 * time.Second
-	fmt.Println("| senders | facts | calls a second while it is out, after the first second (each play) | from its return to the first call | to half of its rate |")
+	const out, settled = 12 * time.Second, 4 * time.Second // until it counts as out and trials have their longest pause
+	fmt.Println("| senders | facts | calls a second while it is out, after the first four seconds (each play) | from its return to the first call | to half of its rate |")
 	fmt.Println("| --- | --- | --- | --- | --- |")
 	list, err := numbers(sizes)
 	if err != nil {
@@ -188,12 +188,12 @@
 					span := func(d time.Duration) { f.Until(d, func([]fleet.Seen) bool { return false }) }
 					span(2 * time.Second)
 					p.Set(partner.Full)
-					span(time.Second)
+					span(settled)
 					from := time.Now()
-					span(out - time.Second)
+					span(out - settled)
 					back := time.Now()
 					p.Set(partner.Well)
-					span(20 * time.Second)
+					span(15 * time.Second)
 					close(stop)
 					<-done
 					calls := p.Calls()
--- a/internal/core/others.go
+++ b/internal/core/others.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		c.marks[id] = l.Mark
-		c.next = append(c.next, logic.Heard{Endpoint: id, Out: l.Out, Back: l.Back})
+		c.next = append(c.next, logic.Heard{Endpoint: id, Out: l.Out, Try: l.Back || l.Turn == 1 && !l.Out, Turn: l.Turn})
 	}
 }
 
--- a/internal/core/others_test.go
+++ b/internal/core/others_test.go
@@ -71,7 +71,7 @@
 	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Wait: time.Hour}
 	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Wait: time.Second}
 	r.put(newMessage("c", "safe")) // the journal has it by now
-	select { // nothing goes to either endpoint
+	select {                       // nothing goes to either endpoint
 	case in := <-r.hand.attempts:
 		t.Errorf("%s was sent to endpoint %d", in.Message.ID, in.Endpoint)
 	case <-time.After(100 * time.Millisecond):
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -163,14 +163,14 @@
 	Version() int64
 }
 
-// Lesson is what a sender has learnt of an endpoint, itself or from another one. One
-// of the fields after Endpoint is set.
+// Lesson is what a sender has learnt of an endpoint, itself or from another one.
 type Lesson struct {
 	Partner  string
 	Endpoint string        // its name
 	Wait     time.Duration // it has told to be left alone for so long from now
 	Out      bool          // it is out
 	Back     bool          // it has answered again, to a call that was begun when that was known
+	Turn     int           // heard: how many times more rarely than one alone it is to try it while it is out; 0 for 1
 	// Mark stands for what others had told when this was heard, and comes back with
 	// what was found since.
 	Mark uint64
--- a/internal/daemon/others.go
+++ b/internal/daemon/others.go
@@ -58,7 +58,7 @@
 	x.Cluster.Hear(ctx, func(list []facts.Lesson) {
 		out := make([]core.Lesson, 0, len(list))
 		for _, l := range list {
-			out = append(out, core.Lesson{Partner: l.Partner, Endpoint: l.Endpoint, Wait: l.Left, Out: l.Out, Back: l.Back, Mark: l.Mark})
+			out = append(out, core.Lesson{Partner: l.Partner, Endpoint: l.Endpoint, Wait: l.Left, Out: l.Out, Back: l.Back, Turn: l.Turn, Mark: l.Mark})
 		}
 		take(out)
 	})
--- a/internal/facts/copy_test.go
+++ b/internal/facts/copy_test.go
@@ -347,3 +347,72 @@
 		t.Errorf("%d facts, %d dropped", c.Len(), c.Dropped)
 	}
 }
+
+// Of those who find an endpoint out one has the turn to try it, and the others try it
+// a quarter as often, all together. Turns are spread over the senders, and only those of one
+// that goes move. Whom the turn comes to hears of it.
+func TestTurns(t *testing.T) {
+	const n, endpoints = 8, 400
+	w := newWorld(n)
+	holders := func() (out []int) { // by endpoint
+		for k := range endpoints {
+			holder, others := -1, 0
+			for i, c := range w.copies {
+				switch turn := c.turn(w.local(i), health(fmt.Sprint(k))); {
+				case turn != 1:
+					others += 1000 / turn
+				case holder >= 0:
+					t.Fatalf("endpoint %d is the turn of %d and of %d", k, holder, i)
+				default:
+					holder = i
+				}
+			}
+			if holder < 0 || others > 250 {
+				t.Fatalf("endpoint %d: the turn is that of %d; all others try it %d times in a thousand", k, holder, others)
+			}
+			out = append(out, holder)
+		}
+		return out
+	}
+	for i, c := range w.copies {
+		for k := range endpoints {
+			c.Tell(w.local(i), health(fmt.Sprint(k)), Value{Out: true}, 0, 60*sec)
+		}
+	}
+	w.exchange()
+	before, each := holders(), make([]int, n)
+	for _, i := range before {
+		each[i]++
+	}
+	if slices.Max(each) > 2*endpoints/n || slices.Min(each) < endpoints/n/2 {
+		t.Errorf("turns: %v", each)
+	}
+	for i, c := range w.copies {
+		for k := range endpoints {
+			c.Learn(w.local(i), []Subject{health(fmt.Sprint(k))})
+		}
+	}
+	w.now += 50 * sec
+	for i, c := range w.copies[1:] { // sender 0 says so no more
+		for k := range endpoints {
+			c.Tell(w.local(i+1), health(fmt.Sprint(k)), Value{Out: true}, 0, 60*sec)
+		}
+	}
+	w.exchange()
+	w.now += 11 * sec
+	for k := range endpoints {
+		s := health(fmt.Sprint(k))
+		is := -1
+		for i, c := range w.copies[1:] {
+			if c.turn(w.local(i+1), s) == 1 {
+				is = i + 1
+			}
+		}
+		if before[k] != 0 && is != before[k] || is < 0 {
+			t.Fatalf("endpoint %d: the turn of %d is now that of %d", k, before[k], is)
+		}
+		if list := w.copies[is].Learn(w.local(is), []Subject{s}); before[k] == 0 && (len(list) != 1 || list[0].Turn != 1) {
+			t.Fatalf("endpoint %d: the turn has come to %d, which hears %+v", k, is, list)
+		}
+	}
+}
--- a/internal/facts/fact.go
+++ b/internal/facts/fact.go
@@ -3,9 +3,10 @@
 import (
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Time is a time or a span on a clock that goes on while the process is paused. It
@@ -145,7 +146,7 @@
 
 // hash tells facts of one origin apart, whatever their age.
 func (f *Fact) hash() uint64 {
-	h := fnv.New64a()
+	h := xxhash.New()
 	fmt.Fprintf(h, "%d %d %t %d ", f.Seq, f.Subject.Kind, f.Value.Out, len(f.Value.Covers))
 	for _, s := range []string{f.Subject.Partner, f.Subject.Endpoint, f.Zone, string(f.Value.More)} {
 		io.WriteString(h, s)
--- a/internal/facts/rules.go
+++ b/internal/facts/rules.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // What holds of a subject, where senders say different things of it.
@@ -11,9 +13,12 @@
 // fields after Subject those of its kind are set.
 type Lesson struct {
 	Subject
-	Left Time   // Wait: until its end
-	Out  bool   // Health: somebody has found it out, and nobody here has had an answer since
-	Back bool   // Health: that holds no longer
+	Left Time // Wait: until its end
+	Out  bool // Health: somebody has found it out, and nobody here has had an answer since
+	Back bool // Health: that holds no longer
+	// Turn, of Health, is how many times more rarely than one alone this sender is to try
+	// the endpoint, as others try it too: 1 for the one whose turn it is.
+	Turn int
 	By   string // who has it from the partner
 	// Mark is to be given back with what this sender finds itself; see [Copy.Cover].
 	Mark uint64
@@ -24,6 +29,31 @@
 	wait Time
 	mark uint64
 	out  bool
+	turn int
+}
+
+// othersTry is how many times more rarely all others together try an endpoint that is
+// out than the one whose turn it is: in case that one does not.
+const othersTry = 4
+
+// turn is how rarely this sender is to try an endpoint that some find out: of those the
+// first by a hash of its name and the endpoint's has the turn, so that each has it for
+// some endpoints, and it moves only as those who find it out come and go.
+func (c *Copy) turn(now Time, s Subject) int {
+	n, first, best := 0, (*origin)(nil), uint64(0)
+	for _, e := range c.subject[s] {
+		if now >= e.end() || !e.Value.Out || c.covered(s, e.dot()) {
+			continue
+		}
+		n++
+		if w := xxhash.Sum64String(e.from.Name + "\x00" + s.Partner + "\x00" + s.Endpoint); first == nil || w > best {
+			first, best = e.from, w
+		}
+	}
+	if n == 0 || first.Name == c.own.Name {
+		return 1
+	}
+	return othersTry * n
 }
 
 // holds lists what others say of a subject and is not over, newest arrival last.
@@ -61,12 +91,13 @@
 		lesson.Out = is.out && is.mark > was.mark
 		lesson.Back = was.out && !is.out
 		if s.Kind == Health {
-			is.mark = max(is.mark, was.mark)
+			is.mark, is.turn = max(is.mark, was.mark), c.turn(now, s)
+			lesson.Turn = is.turn
 		}
 		switch {
 		case s.Kind == Wait && is.wait <= was.wait+1e6: // by another way, or a shorter one
 			is.wait = max(was.wait, is.wait)
-		case s.Kind == Wait, lesson.Out, lesson.Back:
+		case s.Kind == Wait, lesson.Out, lesson.Back, s.Kind == Health && is.turn != max(was.turn, 1):
 			out = append(out, lesson)
 		}
 		if len(c.subject[s]) == 0 {
--- a/internal/replicate/machine.go
+++ b/internal/replicate/machine.go
@@ -153,6 +153,7 @@
 	if err := m.copy.Tell(now, s, v, age, span); err != nil {
 		return m.out, err
 	}
+	m.out.Lessons = m.copy.Learn(now, []facts.Subject{s}) // whose turn it is may have changed
 	own, seq := m.copy.Own()
 	if m.hot >= 1 && (s.Kind == facts.Wait || s.Kind == facts.Health) {
 		m.hot--
--- a/logic/heard_test.go
+++ b/logic/heard_test.go
@@ -8,7 +8,7 @@
 func TestHeard(t *testing.T) {
 	set := base()
 	set.Share = true
-	out, back := Heard{Endpoint: 1, Out: true}, Heard{Endpoint: 1, Back: true}
+	out, back := Heard{Endpoint: 1, Out: true}, Heard{Endpoint: 1, Try: true}
 	calls := func(r *rig, at float64, n int) (ids []CallOut) {
 		var evs []Event
 		for range n {
@@ -68,6 +68,26 @@
 		t.Errorf("the next trial is at %d, was at %d", r.s.eps[1].trialAt, next)
 	}
 
+	gaps := func(turn int) (all Micros) { // between trials at one that stays out
+		r := newRig(t, set)
+		r.step(0, list(1), Heard{Endpoint: 1, Turn: turn})
+		var last Micros
+		r.step(0, r.call(0))
+		for at := 0.1; at < 9.9; at += 0.1 {
+			for _, m := range r.s.msgs {
+				if m.out != nil {
+					last = r.s.now
+					r.step(at, Reply{ID: m.id, Endpoint: 1, Attempt: m.out.n, Outcome: RefusedConn})
+				}
+			}
+			r.step(at)
+		}
+		return r.s.eps[1].trialAt - last
+	}
+	if one, eight := gaps(1), gaps(8); one > sec(2.5) || eight < sec(2.9) {
+		t.Errorf("trials: the next comes after %d alone, and %d where others try it", one, eight)
+	}
+
 	r = newRig(t, base())
 	r.step(0, list(1))
 	first = calls(r, 0, 1)
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -308,12 +308,12 @@
 }
 
 // heard takes what another sender has found. One that had an answer a moment ago believes that, and goes on
-// singly until the next. An end of an outage is worth a trial.
+// singly until the next. What answers others, or is ours to try, gets a trial.
 func (s *Sender) heard(e *endpoint, h Heard) {
 	if e.doubt = s.now; h.Out && (e.suspect || e.lastOK < s.now-lately) {
 		s.ill(e)
 		s.takeOut(e, "others say so")
-	} else if h.Back && e.suspect {
+	} else if h.Try && e.suspect {
 		e.trialAt = min(e.trialAt, s.now+Micros(s.rng.Float64()*float64(trialGap)))
 	}
 }
@@ -338,5 +338,5 @@
 
 func (s *Sender) backOff(e *endpoint) {
 	e.trialGap = min(2*max(e.trialGap, trialGap), trialMost)
-	e.trialAt = s.now + e.trialGap*Micros(80+s.rng.IntN(40))/100
+	e.trialAt = s.now + e.trialGap*Micros(max(e.turn, 1)*(80+s.rng.IntN(40)))/100
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -64,6 +64,7 @@
 	cold              bool   // was out; budgeted until backAt+WarmAfter
 	backAt            Micros
 	trialAt, trialGap Micros
+	turn              int // single trials are so many times rarer, as others try too; 0 for 1
 	inflight          int
 	slow              float64 // smoothed latency, microseconds
 	due               float64 // routes apart: behind its part of the calls, by limits
@@ -516,7 +517,9 @@
 		}
 	case Heard:
 		if e := s.eps[ev.Endpoint]; e != nil {
-			s.heard(e, ev)
+			if e.turn = max(ev.Turn, 1); ev.Out || ev.Try {
+				s.heard(e, ev)
+			}
 		}
 	case Retune:
 		if Check(s.set, ev.Settings) == nil {
--- a/logic/types.go
+++ b/logic/types.go
@@ -210,11 +210,12 @@
 	Left     Micros
 }
 
-// Heard is what another sender has found of an endpoint: that it is out, or has
-// answered again.
+// Heard is what others say of an endpoint.
 type Heard struct {
-	Endpoint  EndpointID
-	Out, Back bool
+	Endpoint EndpointID
+	Out      bool // another sender has found it out
+	Try      bool // it has answered another, or the turn to try it has come to this sender
+	Turn     int  // while it is out, single trials are to be so many times rarer than by one alone; 0 for 1
 }
 
 // Closing says that the sender stops within Left: what cannot finish by then is
