--- a/internal/cluster/knowledge.go
+++ b/internal/cluster/knowledge.go
@@ -281,8 +281,11 @@
 		out.Kind, out.Says, out.Rule = "health", "answers", fmt.Sprintf("refutes %d that were known when its call began, in its zone", len(s.Value.Covers))
 	case s.Kind == facts.Health:
 		out.Kind, out.Says, out.Rule = "health", "out", "holds: no answer here to a call begun since it was known"
-		if s.Covered {
+		switch {
+		case s.Covered:
 			out.Rule = "refuted by an answer in this zone"
+		case s.Turn:
+			out.Rule += "; it is its turn to try it"
 		}
 	}
 	return out
--- a/internal/facts/rules.go
+++ b/internal/facts/rules.go
@@ -36,24 +36,30 @@
 // out than the one whose turn it is: in case that one does not.
 const othersTry = 4
 
-// turn is how rarely this sender is to try an endpoint that some find out: of those the
-// first by a hash of its name and the endpoint's has the turn, so that each has it for
-// some endpoints, and it moves only as those who find it out come and go.
+// turn is how rarely this sender is to try an endpoint that some find out.
 func (c *Copy) turn(now Time, s Subject) int {
-	n, first, best := 0, (*origin)(nil), uint64(0)
+	holder, n := c.holder(now, s)
+	if n == 0 || holder == c.own.Name {
+		return 1
+	}
+	return othersTry * n
+}
+
+// holder is who has the turn to try an endpoint, and how many find it out: of those the
+// first by a hash of its name and the endpoint's, so that each has it for some
+// endpoints, and it moves only as those who find it out come and go.
+func (c *Copy) holder(now Time, s Subject) (name string, n int) {
+	best := uint64(0)
 	for _, e := range c.subject[s] {
 		if now >= e.end() || !e.Value.Out || c.covered(s, e.dot()) {
 			continue
 		}
 		n++
-		if w := xxhash.Sum64String(e.from.Name + "\x00" + s.Partner + "\x00" + s.Endpoint); first == nil || w > best {
-			first, best = e.from, w
+		if w := xxhash.Sum64String(e.from.Name + "\x00" + s.Partner + "\x00" + s.Endpoint); n == 1 || w > best {
+			name, best = e.from.Name, w
 		}
 	}
-	if n == 0 || first.Name == c.own.Name {
-		return 1
-	}
-	return othersTry * n
+	return name, n
 }
 
 // holds lists what others say of a subject and is not over, newest arrival last.
@@ -153,6 +159,7 @@
 	Value   Value
 	Holds   bool // it decides, by the rule of its kind
 	Covered bool // an answer since, in this zone, has refuted it
+	Turn    bool // its sender has the turn to try the endpoint
 }
 
 // List is all that is said of a partner, or of all for an empty name, by subject;
@@ -179,6 +186,9 @@
 			out[i].Holds = first
 		case Health:
 			out[i].Holds = out[i].Value.Out && !out[i].Covered
+			if holder, _ := c.holder(now, out[i].Subject); out[i].Holds {
+				out[i].Turn = holder == out[i].Origin.Name
+			}
 		}
 	}
 	return out
