Measure the platform's memory without pages of files, which vary from run to run

Seen: the same program with 10.7 and 12.4 MB in two runs on one machine, by which pages of its file are mapped; 2% can't be seen in that. measure platform gives anonymous memory beside it.

--- a/cmd/measure/daemon.go
+++ b/cmd/measure/daemon.go
@@ -55,13 +55,19 @@
 }
 
 // memory is the daemon's resident size in MB.
-func (p *process) memory() float64 {
+func (p *process) memory() float64 { return p.status("VmRSS:") }
+
+// anonymous is the memory of a process that is not of files, in MB.
+func (p *process) anonymous() float64 { return p.status("RssAnon:") }
+
+// status is a figure of /proc in MB.
+func (p *process) status(name string) float64 {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(b)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, name); ok {
 			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
 			return float64(kb) / 1024
 		}
--- a/cmd/measure/platform.go
+++ b/cmd/measure/platform.go
@@ -55,7 +55,7 @@
 		}
 	}))
 	defer discovery.Close()
-	type figures struct{ start, fresh, used, begin, calm []float64 }
+	type figures struct{ start, fresh, used, own, begin, calm []float64 }
 	all := map[string]*figures{}
 	for range *turns {
 		for _, bin := range fs.Args() {
@@ -88,7 +88,7 @@
 			if err := handIn(x.Addrs[0], *messages); err != nil {
 				return fmt.Errorf("%s: %w", bin, err)
 			}
-			f.used = append(f.used, p.memory())
+			f.used, f.own = append(f.used, p.memory()), append(f.own, p.anonymous())
 			p.spent()
 			for _, idle := range []time.Duration{0, calmTime} {
 				if x, err = program.Start(bin, []string{"BALANCER_CONFIG=" + path, "BALANCER_STATE=" + dir, "BALANCER_LISTEN=127.0.0.1:0"}); err != nil {
@@ -108,10 +108,10 @@
 		slices.Sort(v)
 		return v[len(v)/2]
 	}
-	fmt.Printf("%-28s %14s %14s %20s %22s %22s\n", "program", "ready in, ms", "fresh, MB", "after messages, MB", "ms of CPU to be ready", "and with 2 s of calm")
+	fmt.Printf("%-28s %14s %14s %20s %12s %22s %22s\n", "program", "ready in, ms", "fresh, MB", "after messages, MB", "not of files", "ms of CPU to be ready", "and with 2 s of calm")
 	for _, bin := range fs.Args() {
 		f := all[bin]
-		fmt.Printf("%-28s %14.1f %14.2f %20.2f %22.2f %22.2f\n", filepath.Base(filepath.Dir(bin))+"/"+filepath.Base(bin), median(f.start), median(f.fresh), median(f.used), median(f.begin), median(f.calm))
+		fmt.Printf("%-28s %14.1f %14.2f %20.2f %12.2f %22.2f %22.2f\n", filepath.Base(filepath.Dir(bin))+"/"+filepath.Base(bin), median(f.start), median(f.fresh), median(f.used), median(f.own), median(f.begin), median(f.calm))
 	}
 	return nil
 }
