--- a/cmd/measure/knowledge.go
+++ b/cmd/measure/knowledge.go
@@ -4,17 +4,10 @@
 	"flag"
 	"fmt"
 	"path/filepath"
-	"runtime"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
-	"cometrack/internal/facts"
-	"cometrack/internal/replicate"
-	"cometrack/internal/replicate/play"
 	"cometrack/internal/standin/fleet"
 	"cometrack/internal/standin/partner"
 )
@@ -55,6 +48,20 @@
 	return fmt.Errorf("--what %s: none of waits, outage, plays, virtual, equal, catchup, bytes", *what)
 }
 
+// sideBySide plays plays, so many at a time.
+func sideBySide(plays, parallel int, play func(i uint64)) {
+	var group sync.WaitGroup
+	places := make(chan struct{}, parallel)
+	for i := range uint64(plays) {
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			play(i)
+		})
+	}
+	group.Wait()
+}
+
 // knowledgeWaits counts by a partner's record the calls that came inside a wait that
 // it had told to one of the senders, over eight seconds of light traffic.
 func knowledgeWaits(bin, sizes string, plays, parallel int, seed uint64) error {
@@ -73,25 +80,18 @@
 					continue
 				}
 				var mu sync.Mutex
-				var group sync.WaitGroup
 				var wrong error
 				told, inside, latest := 0, []int(nil), time.Duration(0)
-				places := make(chan struct{}, parallel)
-				for i := range plays {
-					places <- struct{}{}
-					group.Go(func() {
-						defer func() { <-places }()
-						w, err := waitPlay(bin, n, link, shared, all, wait, length, early, seed+uint64(i))
-						mu.Lock()
-						defer mu.Unlock()
-						if err != nil {
-							wrong = err
-							return
-						}
-						told, inside, latest = told+w.Told, append(inside, w.Inside), max(latest, w.Latest)
-					})
-				}
-				group.Wait()
+				sideBySide(plays, parallel, func(i uint64) {
+					w, err := waitPlay(bin, n, link, shared, all, wait, length, early, seed+i)
+					mu.Lock()
+					defer mu.Unlock()
+					if err != nil {
+						wrong = err
+						return
+					}
+					told, inside, latest = told+w.Told, append(inside, w.Inside), max(latest, w.Latest)
+				})
 				if wrong != nil {
 					return wrong
 				}
@@ -227,33 +227,26 @@
 func knowledgePlays(bin string, plays, parallel int, seed uint64) error {
 	const senders, length, wait, early = 4, 10 * time.Second, 3 * time.Second, 250 * time.Millisecond
 	var mu sync.Mutex
-	var group sync.WaitGroup
 	equal, never, told, inside, failed := []time.Duration(nil), 0, 0, 0, 0
-	places := make(chan struct{}, parallel)
-	for i := range uint64(plays) {
-		places <- struct{}{}
-		group.Go(func() {
-			defer func() { <-places }()
-			err := onePlay(bin, senders, length, wait, seed+i, func(took time.Duration, ok bool, w fleet.Waits) {
-				mu.Lock()
-				defer mu.Unlock()
-				told, inside = told+w.Told, inside+w.Inside
-				if equal = append(equal, took); !ok || w.Inside > 0 {
-					fmt.Printf("seed %d: equal %v after %v; %+v\n", seed+i, ok, took, w)
-				}
-				if !ok {
-					never++
-				}
-			}, early)
-			if err != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				failed++
-				fmt.Printf("seed %d: %v\n", seed+i, err)
+	sideBySide(plays, parallel, func(i uint64) {
+		err := onePlay(bin, senders, length, wait, seed+i, func(took time.Duration, ok bool, w fleet.Waits) {
+			mu.Lock()
+			defer mu.Unlock()
+			told, inside = told+w.Told, inside+w.Inside
+			if equal = append(equal, took); !ok || w.Inside > 0 {
+				fmt.Printf("seed %d: equal %v after %v; %+v\n", seed+i, ok, took, w)
 			}
-		})
-	}
-	group.Wait()
+			if !ok {
+				never++
+			}
+		}, early)
+		if err != nil {
+			mu.Lock()
+			defer mu.Unlock()
+			failed++
+			fmt.Printf("seed %d: %v\n", seed+i, err)
+		}
+	})
 	fmt.Printf("%d plays, %d that did not come about; copies that did not become equal: %d; equal after the faults: %s; of %d waits told afterwards, calls inside: %d\n",
 		plays, failed, never, fine(equal), told, inside)
 	return nil
@@ -296,222 +289,6 @@
 	})
 }
 
-// knowledgeOptions are those of plays in virtual time.
-func knowledgeOptions(seed uint64) play.Options {
-	return play.Options{Seed: seed, Senders: 2 + int(seed%5), Every: 100 * time.Millisecond, Rate: 1 << 20, Drift: 0.01,
-		Delay: time.Millisecond, Jitter: 4 * time.Millisecond, Zones: 1 + int(seed%2)}
-}
-
-func knowledgeVirtual(plays, parallel int, seed uint64) error {
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	bad, equal, caught := 0, []time.Duration(nil), []time.Duration(nil)
-	places := make(chan struct{}, parallel)
-	for i := range uint64(plays) {
-		places <- struct{}{}
-		group.Go(func() {
-			defer func() { <-places }()
-			o := play.Draw(knowledgeOptions(seed+i), 20*time.Second)
-			mu.Lock()
-			defer mu.Unlock()
-			if text := o.Bad(); text != "" {
-				bad++
-				fmt.Printf("seed %d: %s\n", seed+i, text)
-			}
-			equal, caught = append(equal, o.Equal), append(caught, o.Caught)
-		})
-	}
-	group.Wait()
-	fmt.Printf("%d plays, %d of which broke something; copies equal after the faults: %s; caught up after a return or 1 s of pause: %s\n",
-		plays, bad, fine(equal), fine(caught))
-	return nil
-}
-
-// fine is a row of spans in order: median, 99th percentile, longest.
-func fine(list []time.Duration) string {
-	slices.Sort(list)
-	ms := func(i int) float64 { return float64(list[i].Microseconds()) / 1000 }
-	return fmt.Sprintf("%.1f, %.1f, %.1f ms", ms(len(list)/2), ms(min(len(list)*99/100, len(list)-1)), ms(len(list)-1))
-}
-
-// knowledgeEqual measures how long copies differ after a wait was told, by size and
-// loss, and after a cut of 30 s in which both halves have learnt.
-func knowledgeEqual(sizes string, plays int, seed uint64) error {
-	list, err := numbers(sizes)
-	if err != nil {
-		return err
-	}
-	fmt.Println("| senders | loss | all have a wait that was told (median, p99, longest) | copies equal after 30 s in two pieces |")
-	fmt.Println("| --- | --- | --- | --- |")
-	for _, n := range list {
-		if n < 2 {
-			continue
-		}
-		for _, loss := range []float64{0, 0.01, 0.1, 0.3} {
-			var known, healed []time.Duration
-			for i := range plays {
-				o := knowledgeOptions(seed + uint64(i))
-				o.Senders = n
-				w := play.New(o)
-				w.Run(time.Second)
-				lose := func() {
-					for a := range n {
-						for b := range n {
-							w.Lose(a, b, loss)
-						}
-					}
-				}
-				lose()
-				for k := range 10 {
-					w.Wait(k%n, fmt.Sprint("e", k), 100*time.Second)
-					from := w.Now
-					for !w.Equal() && w.Now-from < 20*time.Second {
-						w.Run(time.Millisecond / 2)
-					}
-					known = append(known, w.Now-from)
-				}
-				for a := range n {
-					for b := range n {
-						if (a < n/2) != (b < n/2) {
-							w.Cut(a, b, true)
-						}
-					}
-				}
-				for k := range 60 {
-					w.Wait(k%n, fmt.Sprint("x", k), 100*time.Second)
-					w.Run(500 * time.Millisecond)
-				}
-				w.Heal()
-				lose()
-				from := w.Now
-				for !w.Equal() && w.Now-from < 60*time.Second {
-					w.Run(time.Millisecond)
-				}
-				healed = append(healed, w.Now-from)
-			}
-			fmt.Printf("| %d | %.0f%% | %s | %s |\n", n, 100*loss, fine(known), fine(healed))
-		}
-	}
-	return nil
-}
-
-func sizeInCBOR(m *replicate.Message) int {
-	b, _ := cbor.Marshal(m)
-	return len(b) + 21 // and its head
-}
-
-// knowledgeCatchUp measures in virtual time how long one that starts with nothing
-// takes to catch up, and what is sent for it.
-func knowledgeCatchUp(seed uint64) error {
-	fmt.Println("| facts | caught up after | bytes sent by all meanwhile | a fact | givers killed half-way: caught up after |")
-	fmt.Println("| --- | --- | --- | --- | --- |")
-	if err := knowledgeFlood(seed); err != nil {
-		return err
-	}
-	for _, n := range []int{100, 10_000, 100_000} {
-		took := [2]time.Duration{}
-		bytes := int64(0)
-		for k := range 2 {
-			o := knowledgeOptions(seed)
-			o.Senders, o.Drift, o.Jitter = 5, 0, 0 // datagrams of one link stay in order
-			w := play.New(o)
-			w.Run(time.Second)
-			w.Fill(0, n, time.Hour)
-			w.Run(time.Duration(n) * 2 * time.Millisecond / 4 * 2)
-			w.Run(5 * time.Second)
-			if !w.Full(n) {
-				return fmt.Errorf("the others do not have %d facts", n)
-			}
-			w.SizeOf = sizeInCBOR
-			from := w.Now
-			p := w.Start(4)
-			if k == 1 {
-				for i := range 2 { // one after another
-					w.Run(took[0] / 6)
-					w.Kill(1 + i)
-				}
-			}
-			before := w.Bytes
-			for p.Caught == 0 && w.Now-from < 10*time.Minute {
-				w.Run(time.Millisecond)
-			}
-			took[k] = w.Now - from
-			if k == 0 {
-				bytes = w.Bytes - before
-			}
-		}
-		fmt.Printf("| %d | %v | %d | %.0f bytes | %v |\n", n, took[0].Round(time.Millisecond), bytes, float64(bytes)/float64(n), took[1].Round(time.Millisecond))
-	}
-	return nil
-}
-
-// knowledgeFlood has 10,000 facts told in a second, and a wait in the midst of them.
-func knowledgeFlood(seed uint64) error {
-	const all = 10_000
-	o := knowledgeOptions(seed)
-	o.Senders, o.Drift = 5, 0
-	w := play.New(o)
-	w.Run(time.Second)
-	var known []time.Duration
-	from := w.Now
-	for i := range 100 {
-		w.Fill(0, all/100*(i+1), time.Hour) // and all before once more
-		at := w.Now
-		w.Wait(1, fmt.Sprint("now", i), time.Hour)
-		took, _ := w.Until(10*time.Second, func() bool { return w.Knows(1) })
-		known = append(known, took)
-		w.Run(max(10*time.Millisecond-(w.Now-at), 0))
-	}
-	told := w.Now - from
-	if _, ok := w.Until(time.Minute, func() bool { return w.Full(all + 100) }); !ok {
-		return fmt.Errorf("not all have %d facts", all)
-	}
-	fmt.Printf("%d facts and half a million changes of them told within %v by one sender of five: all have all after %v; a wait told meanwhile by another is known by all after %s\n\n",
-		all, told.Round(time.Millisecond), (w.Now - from).Round(time.Millisecond), fine(known))
-	return nil
-}
-
-// knowledgeBytes measures what is sent in a calm minute, and the memory of a copy.
-func knowledgeBytes(sizes string, seed uint64) error {
-	list, err := numbers(sizes)
-	if err != nil {
-		return err
-	}
-	fmt.Println("| senders | facts | bytes a second sent by each, calm | messages a second, all |")
-	fmt.Println("| --- | --- | --- | --- |")
-	for _, n := range list {
-		for _, held := range []int{0, 100, 1000} {
-			if n < 2 {
-				continue
-			}
-			o := knowledgeOptions(seed)
-			o.Senders, o.Every = n, 300*time.Millisecond
-			w := play.New(o)
-			w.Run(time.Second)
-			for i := range n {
-				w.Fill(i, held/n+1, time.Hour)
-			}
-			w.Run(20 * time.Second)
-			w.SizeOf = sizeInCBOR
-			bytes, sent := w.Bytes, w.Sent
-			w.Run(time.Minute)
-			fmt.Printf("| %d | %d | %.0f | %.1f |\n", n, held, float64(w.Bytes-bytes)/60/float64(n), float64(w.Sent-sent)/60)
-		}
-	}
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	c := facts.New(facts.Origin{Name: "s0", Life: 1}, "", 0)
-	const many = 50_000
-	for i := range many {
-		c.Tell(time.Second, facts.Subject{Kind: facts.Wait, Partner: fmt.Sprint("partner-", i), Endpoint: fmt.Sprint("partner-", i, "/127.0.0.1:9000")}, facts.Value{}, 0, time.Hour)
-	}
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	fmt.Printf("\n%.0f bytes of memory a fact, of %d\n", float64(after.HeapAlloc-before.HeapAlloc)/many, c.Len())
-	return nil
-}
-
 func numbers(text string) (out []int, err error) {
 	for x := range strings.SplitSeq(text, ",") {
 		var n int
