--- a/internal/standin/fleet/knowledge_test.go
+++ b/internal/standin/fleet/knowledge_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +73,54 @@
 		t.Errorf("%+v; want 2 waits, and no call more than 250 ms after one was told", got)
 	}
 }
+
+// One of three senders finds a partner out. The others, which have not called it till
+// then, do not find that out for themselves, and all together try it little more often
+// than one; and once it is back all deliver again.
+func TestOneFindsOut(t *testing.T) {
+	p, err := partner.Start(partner.Options{Name: "acme", Rate: 200})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	f := start(t, Options{Senders: 3, Cluster: `lease = "1s"`, Config: Partners(p)})
+	await(t, f, "all here", AllHere)
+	p.Set(partner.Full)
+	all, one := make(chan struct{}), make(chan struct{})
+	feed, done := &Feed{Partner: "acme", Class: "safe", Rate: 30}, make(chan struct{})
+	go func() { feed.feed(f.Senders()[0], time.Second/30, one) }()
+	out := func([]Seen) bool {
+		told, err := f.Told()
+		for _, set := range told {
+			found := false
+			for says := range set {
+				found = found || strings.HasPrefix(says, "health") && strings.Contains(says, "out")
+			}
+			if !found {
+				return false
+			}
+		}
+		return err == nil && len(told) == 3
+	}
+	await(t, f, "all know that it is out", out)
+	close(one)
+	go func() { feed.Run(f, all); close(done) }()
+	defer func() { close(all); <-done }()
+	n, from := len(p.Calls()), time.Now()
+	f.Until(5*time.Second, func([]Seen) bool { return false }) // calls are counted over a time
+	took := len(p.Calls()) - n
+	if t.Logf("%d calls in %v", took, time.Since(from)); took > 10 { // 7 seen, with the first trials of each; 14 by themselves
+		t.Errorf("%d calls at a partner that is known to be out", took)
+	}
+	p.Set(partner.Well)
+	back := time.Now()
+	await(t, f, "all deliver", func([]Seen) bool {
+		well := map[string]bool{}
+		for _, c := range p.Calls() {
+			if c.At.After(back) && c.Status == 200 {
+				well[c.From] = true
+			}
+		}
+		return len(well) == 3
+	})
+}
