--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"cometrack/internal/replicate"
 	"cometrack/internal/view"
 )
 
@@ -58,6 +59,7 @@
 	saves  chan kept // has room for one; the loop alone fills it
 	lore   *knowledge
 	behind atomic.Int64 // the copy of the facts is, and from that time on the least part may be used; 0 if it is not
+	ran    atomic.Int64 // when the loop last made a step
 	stop   context.CancelFunc
 	done   chan struct{}
 	stamp  *stamp
@@ -113,9 +115,13 @@
 }
 
 // Allowed is which part of each rate may be used now: nothing for a moment while the
-// copy of the facts is behind, and then the least until it has caught up.
+// copy of the facts is behind, and then the least until it has caught up. After a pause
+// that is so at once, before the loop has seen that there was one.
 func (c *Cluster) Allowed() float64 {
 	t := now()
+	if c.opts.Facts && t-time.Duration(c.ran.Load()) > replicate.Missed*c.opts.Every {
+		return 0
+	}
 	if least := time.Duration(c.behind.Load()); least > 0 && t < least {
 		return 0
 	}
@@ -306,7 +312,9 @@
 // follow does what a step asks for, in its order.
 func (c *Cluster) follow(r view.Ready) {
 	old := c.part.Swap(&r.Part)
-	c.stamp.set(c.machine.Life())
+	id, ran := c.machine.Life()
+	c.stamp.set(id, ran)
+	c.ran.Store(int64(ran))
 	if t := now(); old.At(t) != r.Part.At(t) || old.Now != r.Part.Now {
 		c.notify()
 	}
@@ -397,21 +405,18 @@
 			}
 			continue // an earlier datagram found nobody
 		}
-		if kindOf(buf[:n]) == lore && c.opts.Facts {
-			take(c, buf[:n], c.lore.in)
-		} else {
-			take(c, buf[:n], c.in)
+		switch ring := c.ring.get(); {
+		case kindOf(buf[:n]) != lore:
+			take(c, buf[:n], ring.unpack, c.in)
+		case c.opts.Facts: // else the others share what this one does not
+			take(c, buf[:n], ring.open, c.lore.in)
 		}
 	}
 }
 
 // take hands a packet to the loop, unless it is dropped.
-func take[M any](c *Cluster, b []byte, to chan<- *M) {
-	m, ring := new(M), c.ring.get()
-	read := ring.unpack
-	if kindOf(b) == lore {
-		read = ring.open
-	}
+func take[M any](c *Cluster, b []byte, read func([]byte, any) error, to chan<- *M) {
+	m := new(M)
 	if err := read(b, m); err != nil {
 		c.drop(err.Error())
 		return
--- a/internal/cluster/packet_test.go
+++ b/internal/cluster/packet_test.go
@@ -128,3 +128,30 @@
 		}
 	}
 }
+
+// A sender whose loop has not run for some ticks uses nothing, before anything has
+// noticed the pause; one whose copy is behind uses nothing, and after a while its least.
+func TestAllowed(t *testing.T) {
+	at := now()
+	for name, x := range map[string]struct {
+		facts       bool
+		ran, behind time.Duration // ago; behind: until its least may be used, from now on
+		want        float64
+	}{
+		"well":                   {true, 0, 0, 0.9},
+		"paused":                 {true, 4 * time.Second, 0, 0},
+		"paused, nothing shared": {false, 4 * time.Second, 0, 0.9},
+		"behind":                 {true, 0, time.Minute, 0},
+		"behind for longer":      {true, 0, -time.Second, 0.1},
+	} {
+		c := &Cluster{opts: Options{Facts: x.facts, Every: time.Second}}
+		c.part.Store(&view.Part{Now: 0.9, Until: at + time.Hour, Least: 0.1, Dead: at + time.Hour})
+		c.ran.Store(int64(at - x.ran))
+		if x.behind != 0 {
+			c.behind.Store(int64(at + x.behind))
+		}
+		if got := c.Allowed(); got != x.want {
+			t.Errorf("%s: %v, want %v", name, got, x.want)
+		}
+	}
+}
--- a/internal/replicate/machine.go
+++ b/internal/replicate/machine.go
@@ -22,6 +22,10 @@
 	hotRate    = 200 // facts a second that are sent to all at once; others go as the budget allows
 )
 
+// Missed is for how many ticks a sender may not run before it counts as having missed
+// what was told meanwhile.
+const Missed = 3
+
 // Config is what a sender is told at its start.
 type Config struct {
 	Own      facts.Origin
@@ -121,7 +125,7 @@
 // meanwhile.
 func (m *Machine) begin(now Time) {
 	m.out = Ready{}
-	if now-m.last > 3*m.cfg.Every {
+	if now-m.last > Missed*m.cfg.Every {
 		m.fallBehind(now)
 	}
 	m.last = max(m.last, now)
