--- a/internal/replicate/play/cases_test.go
+++ b/internal/replicate/play/cases_test.go
@@ -65,6 +65,17 @@
 		t.Errorf("what came ahead of what is lost has not been passed on within %v", took)
 	}
 
+	const many = 3000 // more than one answer holds
+	w = calm(3, func(o *Options) { o.Every = 100 * time.Millisecond })
+	w.Fill(0, many, time.Hour)
+	if took, ok := w.Until(20*time.Second, func() bool { return w.Full(many) }); !ok {
+		t.Fatalf("not all have all within %v", took)
+	}
+	p := w.Start(2)
+	if w.Until(10*time.Second, func() bool { return p.Caught > 0 }); p.Caught == 0 || p.Machine.Copy().Len() != many {
+		t.Errorf("caught up at %v with %d of %d facts", p.Caught, p.Machine.Copy().Len(), many)
+	}
+
 	w = calm(2, func(o *Options) { o.Rate = 10 })
 	w.Fill(0, 400, time.Hour) // more than goes out at once, and than there are bytes for
 	w.Run(2 * time.Second)
