--- a/cmd/measure/knowledge.go
+++ b/cmd/measure/knowledge.go
@@ -102,18 +102,14 @@
 	return nil
 }
 
-func waitPlay(bin string, n int, link string, shared bool, all float64, wait, length, early time.Duration, seed uint64) (out fleet.Waits, err error) {
-	p, err := partner.Start(partner.Options{Name: "acme", Wait: wait, Seconds: true, Phases: []partner.Phase{
-		{Mode: partner.Well, For: 700 * time.Millisecond}, {Mode: partner.Full, For: 150 * time.Millisecond}}})
-	if err != nil {
-		return out, err
-	}
-	defer p.Close()
+// inFleet starts senders that share a partner, and facts or not, and has them meet.
+// One alone knows of no others.
+func inFleet(bin string, n int, seed uint64, shared bool, p *partner.Partner, play func(*fleet.Fleet) error) error {
 	opts := fleet.Options{Program: bin, Senders: n, Seed: seed, Config: fleet.Partners(p), Cluster: fmt.Sprintf("lease = \"1s\"\nfacts = %v", shared)}
 	if n == 1 {
 		opts.Cluster = "off"
 	}
-	err = inDir(opts, func(opts fleet.Options) error {
+	return inDir(opts, func(opts fleet.Options) error {
 		f, err := fleet.Start(opts)
 		if err != nil {
 			return err
@@ -124,6 +120,18 @@
 				return fmt.Errorf("the senders did not meet")
 			}
 		}
+		return play(f)
+	})
+}
+
+func waitPlay(bin string, n int, link string, shared bool, all float64, wait, length, early time.Duration, seed uint64) (out fleet.Waits, err error) {
+	p, err := partner.Start(partner.Options{Name: "acme", Wait: wait, Seconds: true, Phases: []partner.Phase{
+		{Mode: partner.Well, For: 700 * time.Millisecond}, {Mode: partner.Full, For: 150 * time.Millisecond}}})
+	if err != nil {
+		return out, err
+	}
+	defer p.Close()
+	err = inFleet(bin, n, seed, shared, p, func(f *fleet.Fleet) error {
 		for i := range n {
 			for k := range n {
 				switch {
@@ -168,21 +176,7 @@
 				if err != nil {
 					return err
 				}
-				opts := fleet.Options{Program: bin, Senders: n, Config: fleet.Partners(p), Cluster: fmt.Sprintf("lease = \"1s\"\nfacts = %v", shared)}
-				if n == 1 {
-					opts.Cluster = "off"
-				}
-				err = inDir(opts, func(opts fleet.Options) error {
-					f, err := fleet.Start(opts)
-					if err != nil {
-						return err
-					}
-					defer f.Close()
-					if n > 1 {
-						if _, ok := f.Until(clusterPatience, fleet.AllHere); !ok {
-							return fmt.Errorf("the senders did not meet")
-						}
-					}
+				err = inFleet(bin, n, 1, shared, p, func(f *fleet.Fleet) error {
 					feed, stop, done := &fleet.Feed{Partner: "acme", Class: "safe", Rate: 120 / float64(n)}, make(chan struct{}), make(chan struct{})
 					go func() { feed.Run(f, stop); close(done) }()
 					span := func(d time.Duration) { f.Until(d, func([]fleet.Seen) bool { return false }) }
@@ -259,16 +253,7 @@
 		return err
 	}
 	defer p.Close()
-	opts := fleet.Options{Program: bin, Senders: senders, Seed: seed, Cluster: `lease = "1s"`, Config: fleet.Partners(p)}
-	return inDir(opts, func(opts fleet.Options) error {
-		f, err := fleet.Start(opts)
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		if _, ok := f.Until(clusterPatience, fleet.AllHere); !ok {
-			return fmt.Errorf("the senders did not meet")
-		}
+	return inFleet(bin, senders, seed, true, p, func(f *fleet.Fleet) error {
 		feed, stop, done := &fleet.Feed{Partner: "acme", Class: "safe", Rate: 5}, make(chan struct{}), make(chan struct{})
 		go func() { feed.Run(f, stop); close(done) }()
 		defer func() { close(stop); <-done }()
