Try first what a restart finds taken on and untried, however little time is left

With a usual latency known from before, or as soon as four answers had come, whatever had less time left than that was returned with no call (gate, endHopeless); a full hold gave up its last ones (dispatch); and late messages weigh 0.4, so new ones went first.

Change: core.resume says that a message is one of an earlier process's (Past.Held). Until a call of it has gone out it goes before all else, the one that runs out of time first, and the median gate and the hold's ends do not touch it; paces, waits, budgets and slots hold as before.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -168,7 +168,7 @@
 		}
 		c.held[e.ID] = h
 		c.open++
-		in.Past = logic.Past{Tries: e.Tries, MayRun: e.MayRun || e.Open}
+		in.Past = logic.Past{Tries: e.Tries, MayRun: e.MayRun || e.Open, Held: c.from == nil}
 		if in.Past.MayRun {
 			in.Past.Age = logic.Micros(max(now-e.FirstMay, 0))
 			in.Past.Zone = slices.Index(c.cfg.Zones, e.FirstZone)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,7 @@
 package logic
 
-// Decisions on the list, the queue and endings, and all tuned values; the rest is in gate.go, outcomes.go.
-// The interface (settings, events, actions) is in logic/types.go. What is marked "design" comes from the
-// design page, what is marked "ours" is our own.
+// Decisions on the list, the queue and endings, and all tuned values; others are in gate.go, outcomes.go,
+// the interface in logic/types.go. Marked "design": from the design page; marked "ours": our own.
 
 import (
 	"cmp"
@@ -69,6 +68,7 @@
 
 	quotaHalf = 5 * Second // ours: half-life of a tenant's rate
 	lossAhead = Second     // ours: loss of worth within this sets who goes first
+	owedFirst = 1e15       // ours: above any worth and any deadline
 	lateLess  = 0.4        // ours: weight of what is late already, beside what can be in time still
 	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
 	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
@@ -197,6 +197,9 @@
 
 // rate orders the queue: the worth that waiting a little longer would lose, for each second of a slot.
 func (s *Sender) rate(m *msg) float64 {
+	if m.owed { // before all else, the first to run out of time first: so most are tried
+		return owedFirst - float64(m.deadline)
+	}
 	u := max(s.usual(m), 10_000)
 	soon := s.value(m, s.now+u)
 	loss := soon - s.value(m, s.now+u+lossAhead)
@@ -223,6 +226,9 @@
 
 // usual is the median served latency of m's destination, else of its class; 0 if neither is known.
 func (s *Sender) usual(m *msg) Micros {
+	if m.owed { // a restart found it untried: it is tried however little time is left
+		return 0
+	}
 	if m.dest.hist.total >= minWeight {
 		return m.dest.hist.median
 	}
@@ -250,12 +256,12 @@
 		m.dest.rank++
 		// What the pace cannot send in time ends now, if the hold has little room: paces and limits come back.
 		p := s.destPace(m.dest)
-		if p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf {
+		if p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf && !m.owed {
 			s.end(m)
 			continue
 		}
 		// A nearly full hold gives up its least worthy rather than turning new messages away unseen.
-		if s.crowd() > holdFull && i >= len(q)-1 && !m.mayRun {
+		if s.crowd() > holdFull && i >= len(q)-1 && !m.mayRun && !m.owed {
 			s.end(m)
 		}
 	}
@@ -352,19 +358,11 @@
 			s.cancel(m.out)
 		}
 	} else {
-		s.do(Refuse{ID: m.id, RetryIn: s.advice()})
+		s.do(Refuse{ID: m.id, RetryIn: s.set.MaxRetryAfter}) // as late as a client heeds: what turned it away lasts
 	}
 	s.close(m)
 }
 
-// advice tells a client when to come again: as late as it heeds, since what turned it away lasts.
-func (s *Sender) advice() Micros {
-	if !s.set.RetryAfter {
-		return 0
-	}
-	return s.set.MaxRetryAfter
-}
-
 // resume takes up a message where a restart cut it off: its attempts count, and one without an outcome may
 // have run. What may not be sent again ends at once.
 func (s *Sender) resume(m *msg, p Past) {
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -169,6 +169,7 @@
 	lastOfCall := s.landed(a)
 	s.report(e, r.Load)
 	s.note(e.dest, false)
+	m.owed = m.owed && r.Outcome == Moot
 	if r.Wait > 0 { // an answer to several messages may tell one beside those that were delivered
 		e.lane.until = max(e.lane.until, s.now+r.Wait)
 	}
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -238,7 +238,7 @@
 		}
 		ci := slices.IndexFunc(w.set.Classes, func(c Class) bool { return c.Name == m.class.Name })
 		evs = append(evs, Call{ID: m.id, Left: m.deadline - w.now, Key: m.key, Dest: m.dest, Tenant: -1, Class: ci,
-			Past: Past{Tries: m.tries, MayRun: m.mayRun, Age: w.now - m.firstMay, Zone: m.zone}})
+			Past: Past{Tries: m.tries, MayRun: m.mayRun, Age: w.now - m.firstMay, Zone: m.zone, Held: true}})
 	}
 	w.run(evs...)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -101,6 +101,7 @@
 	first    Micros // when it was first handed in
 	deadline Micros
 	tries    int
+	owed     bool // a process before this one took it on, and no call of it has gone out yet
 	cuts     int
 	out      *attempt
 	mayRun   bool
@@ -173,6 +174,9 @@
 	if set.Save == 0 {
 		set.Save = paceSave
 	}
+	if !set.RetryAfter {
+		set.MaxRetryAfter = 0
+	}
 	byClass, usage := map[string]*hist{}, make([]usage, len(set.Tenants))
 	for _, c := range set.Classes {
 		if byClass[c.Name] = s.byClass[c.Name]; byClass[c.Name] == nil {
@@ -421,7 +425,7 @@
 		deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline)}
 	s.ageOut(m.dest)
 	m.dest.came++
-	m.share = s.shareOf(c.Tenant)
+	m.share, m.owed = s.shareOf(c.Tenant), c.Past.Held && c.Past.Tries == 0
 	s.msgs[m.id] = m
 	s.held = append(s.held, m)
 	if class.KeepOrder && c.Key != "" {
--- a/logic/types.go
+++ b/logic/types.go
@@ -187,6 +187,7 @@
 	MayRun bool   // one of them may have run
 	Age    Micros // time since the first that may have run was sent
 	Zone   int    // zone of its endpoint
+	Held   bool   // it was taken on by a process before this one
 	Over   bool   // it has ended, but for the attempt that is still out
 	Out    *Out   // the last attempt is still out, in another process; nil if it is not
 }
--- /dev/null
+++ b/logic/untried_test.go
@@ -0,0 +1,134 @@
+package logic
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// untried is a restart that finds messages taken on and never tried, half of them with little time left, against a
+// partner in virtual time.
+type untried struct {
+	held    int
+	took    float64 // seconds of a call; 0 for a partner that refuses connections
+	listed  float64 // when the list names it
+	limit   float64 // calls a second, as told; 0 for none
+	senders int
+	full    bool    // the hold is as large as what is held
+	short   float64 // seconds that half of them have left
+	usual   float64 // seconds of a call before the restart, as remembered; 0 for not known
+	fresh   float64 // new messages a second meanwhile
+}
+
+// play returns how many of them were tried, ended with no call, and delivered.
+func (u untried) play(t *testing.T) (tried, given, delivered int) {
+	set := base()
+	set.Senders, set.Slots, set.MaxOpen, set.Remember, set.Weights = max(u.senders, 1), 60, 2*u.held+200, true, WeightsNominal
+	if u.full {
+		set.MaxOpen = u.held
+	}
+	r := newRig(t, set)
+	row := Endpoints{Form: ListCached, Entries: []Entry{{Endpoint: 1, Dest: 9, Nominal: u.limit}}}
+	var evs []Event
+	if u.listed == 0 {
+		evs = append(evs, row)
+	}
+	if u.usual > 0 {
+		m := Memory{Dest: 9, Used: Second, Came: 8, Down: Unseen, Endpoints: []EndpointMemory{{Endpoint: 1, Back: Unseen, Good: Second, Bad: Unseen, Well: Unseen}},
+			Took: TookMemory{Bins: []uint8{uint8(bin(sec(u.usual)))}, Weights: []uint16{128}, Since: Second}}
+		evs = append(evs, Recall{Memory: m})
+	}
+	old := map[string]bool{}
+	for i := range u.held {
+		m := r.call(i % 3)
+		if m.Past.Held = true; i%2 == 0 {
+			m.Left = sec(u.short)
+		}
+		old[m.ID] = true
+		evs = append(evs, m)
+	}
+	due, tries, came := map[Micros][]Event{}, map[string]int{}, 0.0
+	for now := Micros(0); now < 16*Second; now += set.Tick {
+		if u.listed > 0 && now == sec(u.listed) {
+			evs = append(evs, row)
+		}
+		if came += u.fresh * seconds(set.Tick); came >= 1 && len(r.s.held) < set.MaxOpen {
+			came--
+			evs = append(evs, r.call(0))
+		}
+		evs = append(evs, due[now]...)
+		if len(evs) == 0 && now%(20*set.Tick) != 0 {
+			continue
+		}
+		for _, a := range r.s.Step(now, evs) {
+			switch a := a.(type) {
+			case CallOut:
+				rep, at := answer(a.ID, a.Endpoint, tries[a.ID], Completed), now+max(sec(u.took)/set.Tick, 1)*set.Tick
+				if rep.Took = at - now; u.took == 0 {
+					rep.Outcome, rep.NoMore = RefusedConn, false
+				}
+				due[at] = append(due[at], rep)
+				if tries[a.ID]++; old[a.ID] && tries[a.ID] == 1 {
+					tried++
+				}
+				if old[a.ID] && u.took > 0 {
+					delivered++
+				}
+			case Refuse:
+				if old[a.ID] && tries[a.ID] == 0 {
+					given++
+				}
+			case Fail:
+				if old[a.ID] && tries[a.ID] == 0 {
+					given++
+				}
+			}
+		}
+		evs = nil
+	}
+	return tried, given, delivered
+}
+
+// What a restart finds taken on and untried is tried wherever the partner takes that many in time: whatever is remembered of
+// latencies, however full the hold is, whatever comes beside it. The rows stand in docs/measurements/acceptance.md.
+func TestUntried(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		untried
+		most float64 // part that may be given up
+	}{
+		{"1, alive", untried{held: 1, took: 0.02, short: 0.3, usual: 1}, 0},
+		{"100, alive", untried{held: 100, took: 0.02, short: 0.3}, 0},
+		{"100, alive, hold full", untried{held: 100, took: 0.02, short: 0.3, full: true}, 0},
+		{"100, alive, was slow", untried{held: 100, took: 0.02, short: 0.3, usual: 1}, 0},
+		{"100, alive, new ones come", untried{held: 100, took: 0.02, short: 3, limit: 25, fresh: 40}, 0},
+		{"100, slow", untried{held: 100, took: 0.6, short: 2, usual: 0.6}, 0},
+		{"100, slow, hold full", untried{held: 100, took: 0.6, short: 2, full: true}, 0},
+		{"100, limit 30", untried{held: 100, took: 0.05, short: 2, limit: 30, full: true}, 0},
+		{"30, 4 a second are ours", untried{held: 30, took: 0.05, short: 3, limit: 40, senders: 10, full: true}, 0},
+		{"100, out", untried{held: 100, short: 2}, 1},
+		{"100, listed after 2 s", untried{held: 100, took: 0.05, short: 2.5, listed: 2, full: true, usual: 1}, 0},
+		{"5000, alive", untried{held: 5000, took: 0.02, short: 3, full: true}, 0},
+		{"5000, slow", untried{held: 5000, took: 0.3, short: 6, full: true}, 1},
+	} {
+		tried, given, delivered := x.play(t)
+		t.Logf("%-26s %5d tried, %5d given up with no call, %5d delivered", x.name, tried, given, delivered)
+		if float64(given) > x.most*float64(x.held) || tried+given < x.held {
+			t.Errorf("%s: of %d %d were tried, %d given up", x.name, x.held, tried, given)
+		}
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		u := untried{held: rapid.IntRange(1, 150).Draw(rt, "held"), took: rapid.Float64Range(0.01, 0.3).Draw(rt, "took"),
+			limit: rapid.Float64Range(10, 60).Draw(rt, "limit"), senders: rapid.IntRange(1, 4).Draw(rt, "senders"),
+			full: rapid.Bool().Draw(rt, "full"), usual: rapid.SampledFrom([]float64{0, 0.1, 2}).Draw(rt, "usual"),
+			listed: rapid.SampledFrom([]float64{0, 1}).Draw(rt, "listed"), fresh: rapid.Float64Range(0, 30).Draw(rt, "fresh")}
+		pace := u.limit / float64(u.senders)
+		u.short = u.listed + 0.5 + u.took + float64(u.held)/pace // at its even part of the limit it takes them all
+		if u.short > 9 {
+			rt.Skip()
+		}
+		if tried, given, _ := u.play(t); tried < u.held {
+			rt.Fatalf("of %d %d were tried, %d given up", u.held, tried, given)
+		}
+	})
+}
