Give up taken messages for a slow pace only late in their time, new ones as they come

At fault: dispatch, which ends what the pace can't send in time as soon as the hold is 0.7 full, however long ago it was taken on.

Change: that end is for what has just come, which is turned away untaken, and for what has less than 0.3 of its time left.

TestTakenOnKeepsItsPlace fails without the change. A rig restarts the program with untried messages held (measure untried).

--- /dev/null
+++ b/cmd/measure/untried.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"syscall"
+	"time"
+
+	"cometrack/internal/standin/partner"
+	"cometrack/internal/standin/untried"
+)
+
+// untriedTable restarts the program with messages held that it has never tried, and
+// counts what becomes of them.
+func untriedTable(args []string) error {
+	fs := flag.NewFlagSet("untried", flag.ContinueOnError)
+	bin := fs.String("bin", "bin/cometrack", "the sender")
+	most := fs.Int("most", 5000, "leave out rows with more messages than this")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	fmt.Printf("%-8s %6s %-22s %6s %6s %18s %10s\n", "signal", "held", "partner", "over", "tried", "ended with no call", "delivered")
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		for _, held := range []int{1, 100, 5000} {
+			if held > *most {
+				continue
+			}
+			for _, x := range []struct {
+				name string
+				untried.Play
+			}{
+				{"alive", untried.Play{Latency: 20 * time.Millisecond}},
+				{"slow (0.6 s)", untried.Play{Latency: 600 * time.Millisecond}},
+				{"shut (503)", untried.Play{Partner: partner.Full}},
+				{"out (answers nothing)", untried.Play{Partner: partner.Hang}},
+				{"listed after 2 s", untried.Play{Latency: 20 * time.Millisecond, Listed: 2 * time.Second}},
+			} {
+				p := x.Play
+				p.Program, p.Held, p.Signal = *bin, held, sig
+				p.Short, p.Long = 500*time.Millisecond+p.Listed+time.Duration(held)*400*time.Microsecond, 12*time.Second
+				c, err := p.Run()
+				if err != nil {
+					return err
+				}
+				fmt.Printf("%-8s %6d %-22s %6d %6d %18d %10d\n", sig, c.Held, x.name, c.Over, c.Tried, c.Given, c.Delivered)
+				for i, f := range c.Faults {
+					if i < 5 {
+						fmt.Println("   fault:", f)
+					}
+				}
+			}
+		}
+	}
+	return nil
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,6 +71,7 @@
 	owedFirst = 1e15       // ours: above any worth and any deadline
 	lateLess  = 0.4        // ours: weight of what is late already, beside what can be in time still
 	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
+	lateEnd   = 0.3        // ours: before this part of its time is left, what was taken on is not among them
 	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
 	askGap    = Second     // ours: first pause before the list is asked for again
 	askMost   = 8 * Second // ours: and the longest
@@ -256,7 +257,8 @@
 		m.dest.rank++
 		// What the pace cannot send in time ends now, if the hold has little room: paces and limits come back.
 		p := s.destPace(m.dest)
-		if p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf && !m.owed {
+		late := m.step == s.step || !m.owed && m.deadline-s.now < Micros(lateEnd*float64(m.span)) // or just come
+		if late && p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf {
 			s.end(m)
 			continue
 		}
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -228,8 +228,7 @@
 		s.failed(e, "errors")
 		m.rest = s.now + errorRest<<min(m.tries, 5)
 	}
-	// Connections of many senders, idle ones counted, fill an endpoint: those that we use rarely are given back,
-	// unless new ones are dear.
+	// Idle connections of many senders fill an endpoint: rarely used ones go back, unless new ones are dear.
 	e.warm = s.now + s.set.ConnIdle
 	if n := len(e.sent); s.many && s.set.ConnPrice < dearConn && e.inflight == 0 &&
 		(n < 2 || s.now-e.sent[n-2] > reuse) {
@@ -286,8 +285,7 @@
 
 // full notes a refusal; refusals in a row over longer than a limit's window, or a long told wait, mean shut.
 // While the last report says that the limit is used up, only the latter does.
-// Among many senders too: with a limit used up two in a row are common, and the cold budget that follows
-// costs more than single calls do to one that is shut, since each refusal slows the pace as well.
+// Among many senders too: two in a row are common there, and a cold budget costs more than single calls.
 func (s *Sender) full(e *endpoint, wait Micros) {
 	s.refused(e.lane)
 	for _, x := range e.dest.eps { // routes apart take their parts of the same traffic
--- a/logic/state.go
+++ b/logic/state.go
@@ -98,6 +98,8 @@
 	share    float64 // part of its worth that it keeps by its tenant's quota
 	dest     *dest
 	seq      int
+	step     int    // in which it came
+	span     Micros // that it had then
 	first    Micros // when it was first handed in
 	deadline Micros
 	tries    int
@@ -421,8 +423,8 @@
 		seen = &hist{}
 	}
 	s.seq++
-	m := &msg{id: c.ID, class: class, seen: seen, most: most, dest: s.dest(c.Dest), seq: s.seq,
-		deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline)}
+	m := &msg{id: c.ID, class: class, seen: seen, most: most, dest: s.dest(c.Dest), seq: s.seq, step: s.step,
+		span: c.Left, deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline)}
 	s.ageOut(m.dest)
 	m.dest.came++
 	m.share, m.owed = s.shareOf(c.Tenant), c.Past.Held && c.Past.Tries == 0
--- a/logic/untried_test.go
+++ b/logic/untried_test.go
@@ -132,3 +132,43 @@
 		}
 	})
 }
+
+// Where a pace can't send in time what is held, and the hold is more than half full, what has just come is turned away; what
+// was taken on keeps its place until seven tenths of its time are over.
+func TestTakenOnKeepsItsPlace(t *testing.T) {
+	set := base()
+	set.MaxOpen, set.Weights = 20, WeightsNominal
+	r := newRig(t, set)
+	r.step(0, Endpoints{Form: ListFull, Entries: []Entry{{Endpoint: 1, Dest: 9, Nominal: 4}}})
+	var evs []Event
+	for range 16 { // at 2 a second these take 8 s of the 10 that they have
+		evs = append(evs, r.call(0))
+	}
+	first := r.step(1, evs...)
+	if n := len(only[Refuse](first)); n != 0 {
+		t.Fatalf("%d of 16 turned away at once", n)
+	}
+	out := only[CallOut](first)
+	if len(out) == 0 {
+		out = only[CallOut](r.step(1.5))
+	}
+	r.step(2, answer(out[0].ID, 1, 0, Full)) // the pace falls to one a second
+	turned := only[Refuse](r.step(2.1, r.call(0)))
+	if len(turned) != 1 || turned[0].ID != "m17" {
+		t.Errorf("turned away %v, want the one that has just come", turned)
+	}
+	ended := map[string]float64{}
+	for at := 2.2; at < 12; at += 0.1 {
+		for _, a := range only[Refuse](r.step(at)) {
+			ended[a.ID] = at
+		}
+	}
+	for id, at := range ended {
+		if at < 8 {
+			t.Errorf("%s was given up %.1f s after it came, of 10", id, at-1)
+		}
+	}
+	if len(ended) == 0 {
+		t.Error("none was given up")
+	}
+}
