Hear of the list in time whatever falls silent, wherever in an answer, and ask as often as told

Faults, each at its lines: (1) listTime, 6 s for a whole list whose news count as told 6 s after the silence began: with the module's pause the second call came after 7.5 s. (2) run: a watch that fell silent from its first byte was told to the module as a failure, so the next came up to 22.5 s after, told is 22 s. (3) get: an answer that stopped within its body had the whole 21 s of the watch, a trickle too. (4) get read on to the end of the answer before it told of a list that had come whole: a missing last chunk held it back for 6 s, on a watch 21 s. (5) changes of an older generation were taken as news, and {} as a list, after which every partner is unknown. (6) askMost, 8 s and half as much again, fits the first site's rules.ask_every_s of 10 s; where that is 2 s the sender is held to what it missed after 8 s, and the setting was not read.

Mended: 3 s for the first whole list (12 s after one that was too short), 2 s for the rest of an answer that has begun, a silent watch opened anew at once, lists told as soon as they are whole, answers checked, pauses within twice the told time.

Ruled out by reading: two watches at once, news of an address left behind (epochs), a move while the watcher sleeps.

--- a/internal/source/platform/platform.go
+++ b/internal/source/platform/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cometrack/internal/core"
@@ -20,7 +22,10 @@
 	watchHold  = 20 * time.Second       // how long a watch may wait for news
 	agentHold  = time.Second            // the same at an agent, which costs nothing and may fall silent at any time
 	watchSlack = time.Second            // and how much later its answer may come; changes count as told 2 s later
-	listTime   = 6 * time.Second        // for the whole list
+	listTime   = 3 * time.Second        // for the whole list: what it tells counts as told 6 s after a silence began, so a second call has room
+	listMost   = 12 * time.Second       // the same after one that was too short, perhaps for a slow discovery
+	restTime   = 2 * time.Second        // for the rest of an answer that has begun
+	tailTime   = 50 * time.Millisecond  // for what comes behind a list that has come whole
 	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
@@ -78,6 +83,7 @@
 	started  bool  // there is such a list
 	watching bool
 	epoch    int                // counts the addresses
+	listTime time.Duration      // for the next whole list
 	stop     context.CancelFunc // of the watch
 	again    func()             // begins a watch as the last Watch did
 }
@@ -88,7 +94,7 @@
 // discovery is down, not at all, and what it has counts as told. The source then
 // goes on asking whatever happens.
 func New(addr string, known List, pushed bool, log *slog.Logger) *Source {
-	return &Source{addr: addr, log: log, pushed: pushed, gen: known.Generation, started: known.Generation != 0 || len(known.Instances) > 0,
+	return &Source{addr: addr, log: log, pushed: pushed, listTime: listTime, gen: known.Generation, started: known.Generation != 0 || len(known.Instances) > 0,
 		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
@@ -106,7 +112,7 @@
 		d.stop()
 	}
 	d.client.CloseIdleConnections()
-	d.addr, d.started, d.watching = addr, false, false
+	d.addr, d.started, d.watching, d.listTime = addr, false, false, listTime
 	d.epoch++
 	again := d.again
 	d.mu.Unlock()
@@ -173,13 +179,14 @@
 }
 
 func (w *watch) run(ctx context.Context) {
-	down := false
+	down, reopened := false, false
 	for ctx.Err() == nil {
-		url, limit, hold := w.base, listTime, watchHold
+		url, limit, hold := w.base, w.d.listLimit(), watchHold
 		if w.d.pushed {
 			limit, hold = agentHold+watchSlack, agentHold
 		}
-		if w.started {
+		watches := w.started
+		if watches {
 			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, hold.Milliseconds())
 			limit = hold + watchSlack
 		}
@@ -188,27 +195,82 @@
 		if ctx.Err() != nil {
 			return
 		}
+		late := errors.Is(err, context.DeadlineExceeded)
+		if !watches {
+			w.d.listCame(late)
+		}
+		if err == nil {
+			err = w.check(list)
+		}
 		if err != nil {
 			if w.spare--; w.spare >= 0 || w.d.pushed {
 				if !down {
 					w.d.log.Warn("discovery", "err", err)
 				}
 				down = w.d.pushed // say so once, however long the agent is silent
-				time.Sleep(movePause)
+				w.pause(ctx, movePause)
 				continue
 			}
 			w.d.log.Warn("discovery", "err", err)
+			if watches && late && !reopened { // fallen silent: it is opened anew at once, for its news count as told by then
+				reopened = true
+				continue
+			}
 			w.tell(core.News{Err: err, Epoch: w.epoch})
 			return
 		}
-		w.gen, w.started, w.spare, down = list.Generation, true, 0, false
+		w.gen, w.started, w.spare, down, reopened = list.Generation, true, 0, false, false
 		w.tell(core.News{List: list.List(), Version: list.Generation, Epoch: w.epoch})
 		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
-			time.Sleep(emptyPause)
+			w.pause(ctx, emptyPause)
 		}
 	}
 }
 
+// errNoList says that an answer is no news of the list.
+var errNoList = errors.New("no list")
+
+// check says what is wrong with an answer. After changes of an older list than ours, a whole one is asked for.
+func (w *watch) check(l List) error {
+	switch {
+	case l.Reset:
+	case w.started && l.Generation < w.gen:
+		err := fmt.Errorf("%w: changes of generation %d, after %d", errNoList, l.Generation, w.gen)
+		w.started, w.spare = false, max(w.spare, 1)
+		return err
+	case !w.started && l.Generation == 0 && len(l.Instances) == 0:
+		return fmt.Errorf("%w: an answer without generation and endpoints", errNoList)
+	}
+	return nil
+}
+
+// pause waits for d or until ctx is over.
+func (w *watch) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// listLimit is how long the whole list may take.
+func (d *Source) listLimit() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listTime
+}
+
+// listCame notes whether it took too long.
+func (d *Source) listCame(late bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listTime = listTime; late {
+		d.listTime = listMost
+	}
+}
+
+// get makes one call. It returns as soon as the list has come whole, whatever of the answer is still to come.
 func (d *Source) get(ctx context.Context, url string, limit time.Duration) (List, error) {
 	var list List
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -222,13 +284,21 @@
 		return list, err
 	}
 	defer resp.Body.Close()
+	var stalled atomic.Bool
+	rest := time.AfterFunc(restTime, func() { stalled.Store(true); cancel() })
+	defer rest.Stop()
 	if resp.StatusCode != http.StatusOK {
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
 		return list, fmt.Errorf("discovery answered %s", resp.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
+		if stalled.Load() {
+			err = context.DeadlineExceeded
+		}
 		return list, fmt.Errorf("read list: %w", err)
 	}
-	io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+	if rest.Reset(tailTime) {
+		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+	}
 	return list, nil
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -61,6 +61,7 @@
 		ColdFrom     float64 `json:"cold_from"`
 		WarmAfter    float64 `json:"warm_after_s"`
 		KeyQuiet     float64 `json:"key_quiet_s"`
+		AskEvery     float64 `json:"ask_every_s"`
 	} `json:"rules"`
 	Facts struct {
 		Slots int    `json:"call_slots"`
@@ -118,7 +119,7 @@
 		MaxRetryAfter: micros(in.Limits.MaxRetryAfter), OverShareWorth: in.Over,
 		DrainGrace: micros(in.Rules.DrainGrace), FallMultiple: in.Rules.FallMultiple,
 		FallWindow: micros(in.Rules.Fall), ColdFrom: in.Rules.ColdFrom, WarmAfter: micros(in.Rules.WarmAfter),
-		KeyQuiet: micros(in.Rules.KeyQuiet), ReportLeft: -1, ReportLimit: -1}
+		KeyQuiet: micros(in.Rules.KeyQuiet), AskWithin: micros(in.Rules.AskEvery), ReportLeft: -1, ReportLimit: -1}
 	mode, ok := weightModes[in.Weights]
 	if !ok {
 		return out, fmt.Errorf("weights: unknown value %q", in.Weights)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -118,8 +118,8 @@
 func (s *Sender) list(ev Endpoints) {
 	if ev.Form == ListFailed {
 		// Asked in vain or subscription broken: ask again, later each time, and not when all others do.
-		s.askAt = s.now + Micros((0.5+s.rng.Float64())*float64(s.askGap))
-		s.askGap = min(2*s.askGap, askMost)
+		s.askAt = s.now + Micros((0.5+s.rng.Float64())*float64(min(s.askGap, s.askMost)))
+		s.askGap = min(2*s.askGap, s.askMost)
 		return
 	}
 	if s.askAt == never {
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -27,7 +27,7 @@
 		return bad("Save")
 	case set.MaxRetryAfter < 0:
 		return bad("MaxRetryAfter")
-	case set.DrainGrace < 0 || set.KeyQuiet < 0 || set.FallWindow < 0 || set.WarmAfter < 0:
+	case set.DrainGrace < 0 || set.KeyQuiet < 0 || set.AskWithin < 0 || set.FallWindow < 0 || set.WarmAfter < 0:
 		return bad("a span of the rules")
 	case set.FallMultiple < 0:
 		return bad("FallMultiple")
--- a/logic/state.go
+++ b/logic/state.go
@@ -164,6 +164,7 @@
 	timer    Micros // when the last timer set goes off; 0 if none is out
 	askAt    Micros // when to ask for the list; never if asked
 	askGap   Micros
+	askMost  Micros // longest pause before the list is asked for again
 	closeAt  Micros // when this sender stops; 0 if it does not
 	logs     int
 	many     bool    // senders
@@ -179,6 +180,9 @@
 	if !set.RetryAfter {
 		set.MaxRetryAfter = 0
 	}
+	if s.askMost = askMost; set.AskWithin > 0 { // half as much again by chance, and the call itself takes time
+		s.askMost = min(askMost, 2*set.AskWithin)
+	}
 	byClass, usage := map[string]*hist{}, make([]usage, len(set.Tenants))
 	for _, c := range set.Classes {
 		if byClass[c.Name] = s.byClass[c.Name]; byClass[c.Name] == nil {
--- a/logic/types.go
+++ b/logic/types.go
@@ -97,6 +97,7 @@
 	FallWindow   Micros  // for this long, a cold destination falls over
 	ColdFrom     float64 // share of its capacity that a destination has after an outage
 	WarmAfter    Micros  // and when it has all of it again
+	AskWithin    Micros  // within which a list on request is asked for anew, times four after a failure; 0: any
 	KeyQuiet     Micros  // rest of a key after an attempt whose end is not sure
 
 	Remember bool // Sender.Remember is going to be called
