Heed a wait that an answer has told, however the rest of it goes

Read: readAnswer gave up all of a 429 whose body was cut off or whose length made no sense, the wait in its head too (broken), though a wait binds from when it is written. And a call that was called off while its answer came had its read cut at once (cutoff.cancel sets a deadline in the past): a refusal with a wait, or a delivery, that stood half in the socket became 'may have run'.

Mend: the wait of a head that has come is part of the outcome; a call called off within its answer has the linger time (50 ms) for the rest. Ruled out: answers that have not begun (giveUp reads on for the linger time already), outcomes after the end of a message (core.reply heeds a wait before it looks at that).

Test: seven breaks over a pipe that hands on each part before the next step; those that tell a wait or finish after the cancel fail without the mend.

--- a/internal/transport/http/answer.go
+++ b/internal/transport/http/answer.go
@@ -68,7 +68,11 @@
 		}
 		header, keep, err := readRest(r, status, to)
 		if err != nil && status != http.StatusInternalServerError {
-			return limit.broken(err), false
+			out := limit.broken(err)
+			if status == http.StatusTooManyRequests { // the wait is told, whatever became of the rest
+				out.Wait = toldWait(header)
+			}
+			return out, false
 		}
 		out := outcomeOf(status, header)
 		if body != nil {
--- a/internal/transport/http/answer_test.go
+++ b/internal/transport/http/answer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"reflect"
 	"strings"
 	"syscall"
 	"testing"
@@ -253,3 +254,44 @@
 		b.Close()
 	}
 }
+
+// What an answer has told counts however it goes on: a wait binds from when it is written, also if the rest is cut off or
+// spoilt, or if the call is called off between two parts of its answer. The pipe hands on each part before the next step.
+func TestWaitOfAnAnswerThatBreaks(t *testing.T) {
+	const told = "X-Come-Back-Ms: 700\r\n"
+	for _, x := range []struct {
+		name, first, rest string
+		cancel            bool // between the two
+		want              core.Result
+	}{
+		{"cut off in the body", "HTTP/1.1 429 x\r\n", told + "Content-Length: 9\r\n\r\nab", false, core.Result{Outcome: logic.Severed, Wait: 700 * time.Millisecond}},
+		{"cut off in the head", "HTTP/1.1 429 x\r\n", told, false, core.Result{Outcome: logic.Severed, Wait: 700 * time.Millisecond}},
+		{"bad length", "HTTP/1.1 429 x\r\n", told + "Content-Length: -9\r\n\r\n", false, core.Result{Outcome: logic.Spoilt, Wait: 700 * time.Millisecond}},
+		{"called off after the first line", "HTTP/1.1 429 x\r\n", told + "Content-Length: 0\r\n\r\n", true, core.Result{Outcome: logic.Full, Wait: 700 * time.Millisecond}},
+		{"called off in the first line", "HTTP/1.1 4", "29 x\r\n" + told + "Content-Length: 0\r\n\r\n", true, core.Result{Outcome: logic.Full, Wait: 700 * time.Millisecond}},
+		{"called off, and a delivery", "HTTP/1.1 2", "00 x\r\nContent-Length: 0\r\n\r\n", true, core.Result{Outcome: logic.Completed}},
+		{"called off, then cut off", "HTTP/1.1 2", "", true, core.Result{Outcome: logic.Recalled}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			here, there := net.Pipe()
+			defer here.Close()
+			limit := &cutoff{conn: here, by: time.Now().Add(byhand.Patience), linger: byhand.Patience}
+			got := make(chan core.Result, 1)
+			go func() {
+				r, _ := readAnswer(bufio.NewReader(here), limit, nil, false, nil)
+				got <- r
+			}()
+			io.WriteString(there, x.first) // returns once it has been read
+			if x.cancel {
+				limit.cancel()
+			}
+			go func() {
+				io.WriteString(there, x.rest)
+				there.Close()
+			}()
+			if r := byhand.Await(t, got, "result"); !reflect.DeepEqual(r, x.want) {
+				t.Errorf("got %+v, want %+v", r, x.want)
+			}
+		})
+	}
+}
--- a/internal/transport/http/calls.go
+++ b/internal/transport/http/calls.go
@@ -167,6 +167,7 @@
 	linger time.Duration
 	mu     sync.Mutex
 	off    bool // cancelled
+	comes  bool // the answer has begun to come
 	given  bool // given up: no more than the linger time is left
 }
 
@@ -174,18 +175,28 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.off = true; !l.given {
-		l.conn.SetDeadline(time.Unix(1, 0))
+		l.conn.SetDeadline(l.cancelled())
 	}
 }
 
+// cancelled is until when a call that is called off is read: an answer that has begun
+// counts, if the rest of it comes in a moment, for it may tell a wait.
+func (l *cutoff) cancelled() time.Time {
+	if l.comes {
+		return time.Now().Add(l.linger)
+	}
+	return time.Unix(1, 0)
+}
+
 // wait gives what comes next so much time at most, or if 0 all that the call has.
 func (l *cutoff) wait(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.comes = l.comes || d > 0
 	switch at := time.Now().Add(d); {
 	case l.given:
 	case l.off:
-		l.conn.SetDeadline(time.Unix(1, 0))
+		l.conn.SetDeadline(l.cancelled())
 	case d == 0 || at.After(l.by.Add(l.linger)):
 		if d > 0 {
 			l.conn.SetDeadline(l.by.Add(l.linger))
