Restart the real program with untried messages held and count what becomes of them

Need: what a restart finds taken on and untried is to be tried; the module is tested in virtual time, the process was not.

--- /dev/null
+++ b/internal/daemon/untried_test.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"cometrack/internal/standin/untried"
+)
+
+// What a restart finds taken on and untried is tried by the new process, half of it with little time left: after a kill and
+// after an ordered end, with a partner that is slow and one that the list names only a second after the start.
+func TestUntriedAfterRestart(t *testing.T) {
+	path, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, p := range map[string]untried.Play{
+		"killed, slow":        {Signal: syscall.SIGKILL, Held: 100, Latency: 300 * time.Millisecond, Short: 1200 * time.Millisecond},
+		"ended, slow":         {Signal: syscall.SIGTERM, Held: 100, Latency: 300 * time.Millisecond, Short: 1200 * time.Millisecond},
+		"killed, listed late": {Signal: syscall.SIGKILL, Held: 20, Latency: 20 * time.Millisecond, Listed: time.Second, Short: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p.Program, p.Long = path, 10*time.Second
+			c, err := p.Run()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", c)
+			if c.Given > c.Held/20 || c.Over > c.Held/2 || len(c.Faults) > 0 {
+				t.Errorf("of %d held untried %d were tried, %d ended with no call, %d had run out of time: %v", c.Held, c.Tried, c.Given, c.Over, c.Faults)
+			}
+		})
+	}
+}
