--- a/internal/daemon/untried_test.go
+++ b/internal/daemon/untried_test.go
@@ -16,8 +16,8 @@
 		t.Fatal(err)
 	}
 	for name, p := range map[string]untried.Play{
-		"killed, slow":        {Signal: syscall.SIGKILL, Held: 100, Latency: 300 * time.Millisecond, Short: 1200 * time.Millisecond},
-		"ended, slow":         {Signal: syscall.SIGTERM, Held: 100, Latency: 300 * time.Millisecond, Short: 1200 * time.Millisecond},
+		"killed, slow":        {Signal: syscall.SIGKILL, Held: 100, Latency: 600 * time.Millisecond, Short: time.Second},
+		"ended, slow":         {Signal: syscall.SIGTERM, Held: 100, Latency: 600 * time.Millisecond, Short: time.Second},
 		"killed, listed late": {Signal: syscall.SIGKILL, Held: 20, Latency: 20 * time.Millisecond, Listed: time.Second, Short: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
