--- a/internal/standin/untried/untried.go
+++ b/internal/standin/untried/untried.go
@@ -164,6 +164,9 @@
 	before := len(to.Calls())
 	x.Signal(u.Signal)
 	x.Wait()
+	if len(to.Calls()) > before {
+		c.Faults = append(c.Faults, "called inside the wait while it ended")
+	}
 	to.Set(u.Partner)
 	plat.mu.Lock()
 	plat.after = time.Now().Add(u.Listed)
@@ -179,9 +182,6 @@
 		return c, err
 	}
 	ready := time.Now()
-	if len(to.Calls()) > before && u.Signal == syscall.SIGTERM {
-		c.Faults = append(c.Faults, "called inside the wait while it ended")
-	}
 	last := due[0]
 	for _, d := range due {
 		if d.After(last) {
