--- a/internal/standin/untried/untried.go
+++ b/internal/standin/untried/untried.go
@@ -21,7 +21,6 @@
 	"cometrack/internal/standin/traffic"
 )
 
-// The two partners: what is held is for the first, and calls of the second hold slots.
 const (
 	firstWait = time.Minute // told by the partner before the restart, so that nothing is tried; the restart ends it
 	atOnce    = 200         // requests that are pipelined
