Let a step of the module cost what it does: an index of what is held instead of a sort

Change: groups of messages alike in all but times, in the order that the shape of rate gives, merged by rate itself; a step looks at destinations of which something has happened or is due; ends from a heap of times. Asking a pace changes nothing any more, and cold marks lapse by time and not by being looked at: else what is decided would hang on how often somebody looked. The types of memories move to types.go.

--- a/logic/gate.go
+++ b/logic/gate.go
@@ -48,21 +48,46 @@
 	if o := e.open; o != nil && o.step == s.step && o.n < s.kind(e.dest).Batch { // it would travel in that one
 		return false, s.now + 1
 	}
-	if s.busy >= s.set.Slots || e.lane.inflight >= (s.set.Slots+1)/2 { // slots
-		return false, never
+	if e.shy() && m.class.Effect == Unsafe && s.now < m.first+m.class.Aim { // unsafe messages last
+		return false, m.first + m.class.Aim
+	}
+	at := s.door(e)
+	return at <= s.now, at
+}
+
+// door says when e may take a call, whatever the message: a time that is past if now, never if nobody knows.
+func (s *Sender) door(e *endpoint) Micros {
+	switch {
+	case e.state != Ready:
+		return never
+	case s.now < e.lane.until:
+		return e.lane.until
+	case s.busy >= s.set.Slots || e.lane.inflight >= (s.set.Slots+1)/2: // slots
+		return never
 	}
-	if at := s.health(m, e); at > s.now {
-		return false, at
+	if at := s.health(e); at > s.now {
+		return at
 	}
 	if at := s.budget(e); at > s.now {
-		return false, at
-	}
-	if at := s.paced(e.lane); at > s.now {
-		return false, at
+		return at
 	}
-	return true, 0
+	return s.paced(e.lane)
+}
+
+// shy says that an endpoint fails too often for unsafe messages, which go elsewhere while they are in time.
+func (e *endpoint) shy() bool { return e.suspect || e.bad > badUnsafe }
+
+// shy says that none of d's endpoints that would take a call is good enough for unsafe messages, and none
+// takes them along in one.
+func (s *Sender) shy(d *dest) bool {
+	return !slices.ContainsFunc(d.eps, func(e *endpoint) bool {
+		return !e.shy() && s.door(e) <= s.now || e.open != nil && e.open.step == s.step
+	})
 }
 
+// crowded says that trials hold the slots that they may.
+func (s *Sender) crowded() bool { return s.onTrial() >= max(1, s.set.Slots*2/3) }
+
 // lasts is the time that an attempt needs before this sender stops. One that is cut off by the stop is resent
 // if its class allows it, but an unsafe one is lost.
 func (s *Sender) lasts(m *msg, e *endpoint) Micros {
@@ -72,14 +97,11 @@
 	return s.stuckAfter(e.dest, m)
 }
 
-// health holds messages back from an endpoint that seems out: single trials only, unsafe messages last.
-func (s *Sender) health(m *msg, e *endpoint) Micros {
-	shy := m.class.Effect == Unsafe && s.now < m.first+m.class.Aim
+// health holds messages back from an endpoint that seems out: single trials only.
+func (s *Sender) health(e *endpoint) Micros {
 	switch {
-	case e.suspect && (e.inflight > 0 || s.onTrial() >= max(1, s.set.Slots*2/3)):
+	case e.suspect && (e.inflight > 0 || s.crowded()):
 		return never
-	case shy && (e.suspect || e.bad > badUnsafe):
-		return m.first + m.class.Aim
 	case e.suspect:
 		return e.trialAt
 	case e.inflight > 0 && e.doubt > e.good: // others say that it is out: singly, until an answer
@@ -173,27 +195,41 @@
 
 // ---- Pace ----------------------------------------------------------------------------
 
-// paced says when the lane may take its next call.
+// paced says when the lane may take its next call. Asking changes nothing: what it has saved up counts by the
+// pace that held while messages waited, else by the present one, however often somebody has asked.
 func (s *Sender) paced(l *lane) Micros {
-	r := l.pace
-	if l.limit > 0 { // where a limit is told, it bounds the pace from the start
-		lim := l.limit
-		if s.set.Weights == WeightsRough && !l.told {
-			lim *= 1.5
-		}
-		if lim = min(lim, shareMost*lim/float64(s.set.Senders)); r == 0 || r > lim {
-			r = lim
-		}
-	}
+	r := s.rateOf(l)
 	if r == 0 {
 		return 0
 	}
-	l.tokens = min(l.tokens+r*seconds(s.now-l.filled), max(1, r*seconds(s.set.Save)))
-	l.filled = s.now
-	if l.tokens >= 1-1e-9 {
+	tokens := s.saved(l, r)
+	if tokens >= 1-1e-9 {
 		return 0
 	}
-	return s.now + Micros((1-l.tokens)/r*float64(Second)) + 1
+	return s.now + Micros((1-tokens)/r*float64(Second)) + 1
+}
+
+// rateOf is a lane's pace; where a limit is told, it bounds the pace from the start. 0 is free.
+func (s *Sender) rateOf(l *lane) float64 {
+	lim := l.limit
+	if s.set.Weights == WeightsRough && !l.told {
+		lim *= 1.5
+	}
+	if lim = min(lim, shareMost*lim/float64(s.set.Senders)); lim > 0 && (l.pace == 0 || l.pace > lim) {
+		return lim
+	}
+	return l.pace
+}
+
+func (s *Sender) saved(l *lane, r float64) float64 {
+	return min(l.tokens+r*seconds(s.now-l.filled), max(1, r*seconds(s.set.Save)))
+}
+
+// settle books what a lane has saved up.
+func (s *Sender) settle(l *lane) {
+	if r := s.rateOf(l); r > 0 {
+		l.tokens, l.filled = s.saved(l, r), s.now
+	}
 }
 
 // refused slows a lane: its pace starts at the last second's rate and halves at most once a second. Where an
@@ -214,7 +250,7 @@
 		l.pace = max(paceFloor, l.pace/2)
 	}
 	l.halved = s.now
-	s.paced(l)
+	s.settle(l)
 	// Others were refused too: the next call comes half a pace early or late, or up to one after a wait.
 	l.tokens = min(l.tokens, s.rng.Float64()-0.5)
 	if l.until > s.now {
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -29,14 +29,10 @@
 // unless the other never has.
 func (s *Sender) HandOver(now Micros) (all []Memory, keys []KeyRest) {
 	s.now = max(s.now, now)
-	held := map[*dest]int{}
-	for _, m := range s.held {
-		held[m.dest]++
-	}
 	for _, d := range s.order {
 		m := s.memory(d)
 		m.Exact = true
-		m.Came = max(d.came-held[d], 0) // those that are held are counted when they are handed in
+		m.Came = max(d.came-d.held, 0) // those that are held are counted when they are handed in
 		m.Lane.LaneExact = s.laneExact(d.lane)
 		for i := range m.Endpoints {
 			e, x := d.eps[i], &m.Endpoints[i]
@@ -79,7 +75,7 @@
 }
 
 func (s *Sender) laneExact(l *lane) LaneExact {
-	s.paced(l) // up to now
+	s.settle(l)
 	return LaneExact{Sent: s.agos(l.sent), Tokens: l.tokens, Wait: max(l.until-s.now, 0), Fulls: l.fulls, First: s.ago(l.firstFull),
 		Spent: l.spent}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -66,18 +66,22 @@
 	tellHealth = Second      // ours: least time between two memories of one destination, after changes of health
 	tellRest   = 10 * Second // ours: and after others
 
-	quotaHalf = 5 * Second // ours: half-life of a tenant's rate
-	lossAhead = Second     // ours: loss of worth within this sets who goes first
-	owedFirst = 1e15       // ours: above any worth and any deadline
-	lateLess  = 0.4        // ours: weight of what is late already, beside what can be in time still
-	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
-	lateEnd   = 0.3        // ours: before this part of its time is left, what was taken on is not among them
-	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
-	askGap    = Second     // ours: first pause before the list is asked for again
-	askMost   = 8 * Second // ours: and the longest
-	logMost   = 200        // ours: log lines in a life
-	never     = Micros(math.MaxInt64)
-	longAgo   = Micros(math.MinInt64 / 2)
+	quotaHalf  = 5 * Second // ours: half-life of a tenant's rate
+	lossAhead  = Second     // ours: loss of worth within this sets who goes first
+	leastUsual = 10_000     // ours: a call takes this at least
+	lookMost   = 256        // ours: destinations that a step looks at; the others come first in the next
+	shedLook   = 64         // ours: of more, so many of so many groups
+	shedAll    = 2048       // ours: up to so many that wait, the hold is made room in by looking at all
+	owedFirst  = 1e15       // ours: above any worth and any deadline
+	lateLess   = 0.4        // ours: weight of what is late already, beside what can be in time still
+	holdHalf   = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
+	lateEnd    = 0.3        // ours: before this part of its time is left, what was taken on is not among them
+	holdFull   = 0.9        // ours: share of the hold above which the least worthy are refused
+	askGap     = Second     // ours: first pause before the list is asked for again
+	askMost    = 8 * Second // ours: and the longest
+	logMost    = 200        // ours: log lines in a life
+	never      = Micros(math.MaxInt64)
+	longAgo    = Micros(math.MinInt64 / 2)
 )
 
 // New makes a Sender. An error names the setting that makes no sense.
@@ -142,6 +146,7 @@
 		return
 	}
 	d := s.dest(row.Dest)
+	s.touch(d)
 	d.kind = row.Kind
 	if e == nil || e.dest != d {
 		if e != nil {
@@ -175,7 +180,7 @@
 // shared.
 func (s *Sender) inherit(e *endpoint) {
 	for _, x := range e.dest.eps {
-		if x.cold && e.lane == x.lane {
+		if s.isCold(x) && e.lane == x.lane {
 			e.cold, e.suspect, e.backAt, e.trialAt, e.lastBad = true, x.suspect, x.backAt, x.trialAt, x.lastBad
 		}
 	}
@@ -201,13 +206,13 @@
 	if m.owed { // before all else, the first to run out of time first: so most are tried
 		return owedFirst - float64(m.deadline)
 	}
-	u := max(s.usual(m), 10_000)
+	u := max(s.usual(m), leastUsual)
 	soon := s.value(m, s.now+u)
 	loss := soon - s.value(m, s.now+u+lossAhead)
 	if s.value(m, s.now) < m.class.Worth {
 		loss *= lateLess
 	}
-	return m.share * (loss + 0.02*soon) / (float64(u) * float64(1+m.dest.lane.inflight))
+	return m.share * (loss + 0.02*soon) / (float64(u) * m.dest.load)
 }
 
 // shareOf is the part of its worth that a new message keeps: less while its tenant sends past its quota here,
@@ -239,34 +244,28 @@
 	return blind
 }
 
-// dispatch sends what the gate lets through, the most urgent first.
-func (s *Sender) dispatch() {
-	var q []*msg
-	for _, m := range s.held {
-		if m.out == nil && !m.over {
-			m.prio = s.rate(m)
-			m.dest.rank = 0
-			q = append(q, m)
-		}
+// shed makes room in a hold that has little: what the pace cannot send in time ends, paces and limits come
+// back; and the least worthy, rather than that new messages are turned away unseen.
+func (s *Sender) shed(sent []*msg) {
+	if s.crowd() <= holdHalf {
+		return
 	}
-	slices.SortStableFunc(q, func(a, b *msg) int { return cmp.Compare(b.prio, a.prio) })
-	for i, m := range q {
-		if s.send(m) {
-			continue
-		}
-		m.dest.rank++
-		// What the pace cannot send in time ends now, if the hold has little room: paces and limits come back.
+	q := s.judged()
+	for _, m := range q {
 		p := s.destPace(m.dest)
 		late := m.step == s.step || !m.owed && m.deadline-s.now < Micros(lateEnd*float64(m.span)) // or just come
-		if late && p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf {
-			s.end(m)
-			continue
-		}
-		// A nearly full hold gives up its least worthy rather than turning new messages away unseen.
-		if s.crowd() > holdFull && i >= len(q)-1 && !m.mayRun && !m.owed {
+		if late && p > 0 && m.ahead/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf {
 			s.end(m)
 		}
 	}
+	if len(q) == 0 || s.crowd() <= holdFull {
+		return
+	}
+	least := q[len(q)-1]
+	behind := func(m *msg) bool { return sooner(least, m) < 0 }
+	if !least.mayRun && !least.owed && !slices.ContainsFunc(sent, behind) {
+		s.end(least)
+	}
 }
 
 // send tries the endpoints of m's destination in rotation and reports whether one took it.
@@ -284,7 +283,7 @@
 		e := d.eps[(d.next+i)%len(d.eps)]
 		ok, at := s.gate(m, e)
 		if !ok {
-			s.at(at)
+			d.again = min(d.again, at)
 			continue
 		}
 		r := 0
@@ -329,6 +328,7 @@
 	if !s.joins(m, e) {
 		e.open = &call{step: s.step, by: m.deadline}
 		s.busy++
+		s.settle(e.lane)
 		e.lane.tokens--
 		e.lane.inflight++
 		e.inflight++
@@ -398,26 +398,40 @@
 	}
 }
 
-// endHopeless ends messages whose time is nearly up: unsent ones at a usual call's time before the deadline.
-func (s *Sender) endHopeless() {
+// needs is the time before its end at which a message is hopeless: a usual call's, if none is out.
+func (s *Sender) needs(m *msg) Micros {
 	last := 2 * max(s.set.Tick, 1000)
-	for _, m := range slices.Clone(s.held) {
-		if m.flows {
-			continue
-		}
-		left := m.deadline - s.now
-		need := last
-		if m.out == nil {
-			need = max(need, s.usual(m))
-			if m.mayRun && m.class.Effect == Keyed {
-				left = min(left, m.firstMay+m.class.Window-s.now)
+	if m.out != nil {
+		return last
+	}
+	return max(last, s.usual(m))
+}
+
+// endHopeless ends messages whose time is nearly up, in the order in which they came.
+func (s *Sender) endHopeless() {
+	groups, q := s.ring(), []*msg(nil)
+	for _, a := range s.flying {
+		if m := a.m; !m.over && !m.flows {
+			if left := m.deadline - s.now - s.needs(m); left > 0 {
+				s.at(s.now + left)
+			} else {
+				q = append(q, m)
 			}
 		}
-		if left <= need {
-			s.end(m)
-			continue
+	}
+	for _, g := range groups {
+		s.refresh(g)
+		for p := (place{}); p.chunk < len(g.ends.chunks); p = g.ends.next(p) {
+			x, _ := g.ends.get(p)
+			if x.at-s.now > s.needs(x.m) {
+				break
+			}
+			q = append(q, x.m)
 		}
-		s.at(s.now + left - need)
+	}
+	slices.SortFunc(q, func(a, b *msg) int { return cmp.Compare(a.seq, b.seq) })
+	for _, m := range q {
+		s.end(m)
 	}
 }
 
@@ -427,12 +441,16 @@
 func (s *Sender) ageOut(d *dest) {
 	if s.now-d.used > idleAge && d.lane.inflight == 0 {
 		d.hist, d.lane.pace = hist{}, 0
+		s.refreshAll(d)
 	}
 	d.used = s.now
 }
 
 // arm sets a timer for the next thing to be done, unless one that goes off by then is out.
 func (s *Sender) arm() {
+	if at := s.alarms.next(); at < never {
+		s.at(at + 1) // destinations are looked at from the instant before
+	}
 	if s.wake == never {
 		return
 	}
--- a/logic/memory.go
+++ b/logic/memory.go
@@ -7,64 +7,6 @@
 	"slices"
 )
 
-// Memory is what is known of a destination, for a process that comes after this one. Spans are those since
-// something was, or [Unseen]. It tells nothing of calls that are out.
-type Memory struct {
-	Dest      int64
-	Sick      bool   // an endpoint is out, or not warm yet after an outage
-	Used      Micros // since its last message came
-	Came      int    // messages since the last outage began
-	Down      Micros // since that was seen
-	Lane      LaneMemory
-	Endpoints []EndpointMemory
-	Took      TookMemory
-	Exact     bool // nothing has happened since, and nothing is left out; see [Sender.HandOver]
-}
-
-// Unseen is the span since what has not been yet.
-const Unseen = 365 * 24 * 3600 * Second
-
-// LaneMemory is what is known of a limit.
-type LaneMemory struct {
-	Limit  float64 // calls a second that reports have told; 0 if none has
-	Pace   float64 // calls a second; 0 for none
-	Halved Micros
-	Peak   float64 // most calls in a second
-	LaneExact
-}
-
-// EndpointMemory is what is known of an endpoint.
-type EndpointMemory struct {
-	Endpoint             EndpointID
-	Lane                 LaneMemory // of its own, at kinds with routes apart
-	Out, Cold            bool
-	Back                 Micros // since its return
-	Good, Bad            Micros // since the last good answer and the last failure
-	Well                 Micros // since the last answer that speaks for it alone
-	Gap                  Micros // between single trials
-	Failing              float64
-	Slow                 Micros // its usual latency
-	Fails, Fulls, Resets int
-	EndpointExact
-}
-
-// TookMemory is a histogram of latencies: weights by bin, in sixteenths; bins without are left out.
-type TookMemory struct {
-	Bins    []uint8
-	Weights []uint16
-	Cuts    uint16
-	Since   Micros // since the last sample
-}
-
-// Recall hands a Sender what an earlier one has told of a destination, Age before now. It follows the list
-// that names the endpoints; what this Sender has learnt itself stands.
-type Recall struct {
-	Age    Micros
-	Memory Memory
-}
-
-func (Recall) isEvent() {}
-
 // note marks a destination as one with news, if anybody asks for them.
 func (s *Sender) note(d *dest, health bool) {
 	if !s.set.Remember {
@@ -172,6 +114,7 @@
 		return
 	}
 	d.recalled = true
+	s.touch(d)
 	m, age := r.Memory, max(r.Age, 0)
 	fresh := func(e *endpoint) bool { return e.lastSent == longAgo }
 	used := slices.ContainsFunc(d.eps, func(e *endpoint) bool { return !fresh(e) })
@@ -179,6 +122,7 @@
 		d.used, d.came, d.downAt = s.then(m.Used, age), max(m.Came, 0), s.then(m.Down, age)
 		s.recallLane(d.lane, m.Lane, age)
 		d.hist.recall(m.Took, s.then(m.Took.Since, age))
+		s.refreshAll(d)
 	}
 	sick, told := false, map[*endpoint]bool{}
 	for _, x := range m.Endpoints {
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -97,6 +97,7 @@
 			a.late = true
 			e.dest.hist.add(s.now, age, true)
 			a.m.seen.add(s.now, age, true)
+			s.learn(e.dest, a.m.seen)
 		}
 		if age <= patience*stuck {
 			s.at(a.at + 1 + stuck*Micros(1+min(age/max(stuck, 1), patience-1)))
@@ -132,13 +133,8 @@
 		}
 	}
 	// An unsafe call cannot be sent again, so it may wait; but not with the last slot, while others could go.
-	if oldest != nil && s.busy >= s.set.Slots && s.set.Slots > 0 {
-		for _, m := range s.held {
-			if m.out == nil && m.dest != oldest.m.dest {
-				s.cancel(oldest)
-				break
-			}
-		}
+	if oldest != nil && s.busy >= s.set.Slots && s.set.Slots > 0 && s.waiting > oldest.m.dest.waiting {
+		s.cancel(oldest)
 	}
 }
 
@@ -149,7 +145,7 @@
 	if m.cuts >= maxCuts || m.most > 0 && m.tries >= m.most {
 		return false
 	}
-	if s.busy < s.set.Slots && (e.lane.pace > 0 || e.cold) {
+	if s.busy < s.set.Slots && (e.lane.pace > 0 || s.isCold(e)) {
 		return false
 	}
 	if m.class.Effect == Keyed && s.now > m.firstMay+m.class.Window-Second {
@@ -167,6 +163,7 @@
 	}
 	a, e := m.out, m.out.ep
 	lastOfCall := s.landed(a)
+	s.touch(e.dest)
 	s.report(e, r.Load)
 	s.note(e.dest, false)
 	m.owed = m.owed && r.Outcome == Moot
@@ -190,6 +187,7 @@
 			}
 			h.add(s.now, r.Took, false)
 		}
+		s.learn(e.dest, m.seen)
 		e.slow += badAlpha * (float64(r.Took) - e.slow)
 		if e.slow == 0 {
 			e.slow = float64(r.Took)
@@ -204,6 +202,7 @@
 		if a.cut {
 			if !a.late {
 				e.dest.hist.add(s.now, s.now-a.at, true)
+				s.learn(e.dest, m.seen)
 			}
 			e.slow += badAlpha * max(0, float64(s.now-a.at)-e.slow)
 		} else if a.stuck && e.lastOK < a.at {
@@ -238,7 +237,9 @@
 		s.close(m)
 		return
 	}
-	s.endIfStuck(m)
+	if s.endIfStuck(m); !m.over {
+		s.enqueue(m)
+	}
 }
 
 // succeeded notes an answer to what was sent at a time. One sent before the last failure tells nothing of a
@@ -319,7 +320,7 @@
 // takeOut takes an endpoint for out: from now on single trials, and after its return a budget.
 func (s *Sender) takeOut(e *endpoint, how string) {
 	s.suspect(e, how)
-	if !e.cold {
+	if !s.isCold(e) {
 		s.note(e.dest, true)
 		e.cold = true
 		e.dest.came, e.dest.downAt = 1, s.now
--- /dev/null
+++ b/logic/queue_test.go
@@ -0,0 +1,318 @@
+package logic
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// ---- The sort as oracle --------------------------------------------------------------
+
+// stepBySort is Step without the index: it rates and sorts all that is held, and asks of each whether its time is
+// up. Where the index is to differ, it says so. Equals go older first.
+func (s *Sender) stepBySort(now Micros, events []Event) []Action {
+	s.now = max(s.now, now)
+	s.step++
+	s.out, s.wake = nil, never
+	for _, ev := range events {
+		s.take(ev)
+	}
+	s.subscribe()
+	s.forget()
+	for _, m := range s.all() {
+		if m.over || m.flows {
+			continue
+		}
+		left, need := m.deadline-s.now, 2*max(s.set.Tick, 1000)
+		if m.out == nil {
+			need = max(need, s.usual(m))
+			if m.mayRun && m.class.Effect == Keyed {
+				left = min(left, m.firstMay+m.class.Window-s.now)
+			}
+		}
+		if left <= need {
+			s.end(m)
+		}
+	}
+	for _, g := range s.ring() {
+		s.refresh(g)
+	}
+	s.cutLong()
+	s.dispatchBySort()
+	s.active, s.came = s.active[:0], s.came[:0]
+	s.arm()
+	return s.out
+}
+
+func (s *Sender) all() (q []*msg) {
+	for _, m := range s.msgs {
+		q = append(q, m)
+	}
+	slices.SortFunc(q, func(a, b *msg) int { return cmp.Compare(a.seq, b.seq) })
+	return q
+}
+
+func (s *Sender) dispatchBySort() {
+	var q []*msg
+	for _, m := range s.all() {
+		if m.out == nil && !m.over {
+			m.dest.load = float64(1 + m.dest.lane.inflight)
+			m.prio = s.rate(m)
+			m.dest.rank = 0
+			q = append(q, m)
+		}
+	}
+	slices.SortFunc(q, sooner)
+	for _, m := range q {
+		// One with less left than a call takes at least is not begun. Before the index, the sort had it go last.
+		if (m.owed || s.now+max(s.usual(m), leastUsual) <= m.deadline) && s.send(m) {
+			s.dequeue(m)
+		}
+	}
+	// Room is made after all have had their turn. Before the index, it was made between one message and the next.
+	for i, m := range q {
+		if m.out != nil {
+			continue
+		}
+		m.dest.rank++
+		p := s.destPace(m.dest)
+		late := m.step == s.step || !m.owed && m.deadline-s.now < Micros(lateEnd*float64(m.span))
+		if late && p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf {
+			s.end(m)
+			continue
+		}
+		if s.crowd() > holdFull && i >= len(q)-1 && !m.mayRun && !m.owed {
+			s.end(m)
+		}
+	}
+}
+
+// same compares what two Senders do: calls in their order, ends as a set (the index makes room after it has sent).
+func (w *world) same(a, b []Action) {
+	w.t.Helper()
+	pick := func(acts []Action) (calls, others []string) {
+		for _, x := range acts {
+			switch x.(type) {
+			case CallOut:
+				calls = append(calls, fmt.Sprintf("%#v", x))
+			case SetTimer: // the index looks again earlier, or later where nothing could go
+			default:
+				others = append(others, fmt.Sprintf("%#v", x))
+			}
+		}
+		slices.Sort(others)
+		return calls, others
+	}
+	callsA, othersA := pick(a)
+	callsB, othersB := pick(b)
+	if !slices.Equal(callsA, callsB) || !slices.Equal(othersA, othersB) {
+		w.bad("the index does\n%v %v\nthe sort\n%v %v", callsA, othersA, callsB, othersB)
+	}
+}
+
+// twins plays one day with a Sender that decides by the index and one by the sort.
+func twins(t *testing.T, set Settings, seed uint64) {
+	set.Remember = seed%3 == 1
+	w := newWorld(t, set, 100+seed)
+	w.restarts, w.upgrades, w.steady = seed%3 == 1, seed%3 == 2, true
+	w.often = []int{0, 30, 12}[seed/3%3]
+	w.twin = &Sender{}
+	w.renew()
+	w.play()
+}
+
+// What the index decides, the sort decides, whatever comes: in each step of random plays, over restarts and
+// upgrades, with a hold that is nearly empty and one that overflows. PLAYS says how many more.
+func TestIndexDecidesAsTheSort(t *testing.T) {
+	more, _ := strconv.Atoi(os.Getenv("PLAYS"))
+	i := uint64(0)
+	for _, name := range slices.Sorted(maps.Keys(variants())) {
+		i++
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			twins(t, variants()[name], i%6)
+			for seed := range uint64(more) {
+				twins(t, variants()[name], 6+seed)
+			}
+		})
+	}
+}
+
+// ---- The order -----------------------------------------------------------------------
+
+// drawn makes a Sender with destinations, classes and messages of all ages.
+func drawn(t *rapid.T) *Sender {
+	set := base()
+	set.Halves, set.MaxOpen = rapid.Bool().Draw(t, "halves"), 0
+	span := func(name string, most Micros) Micros { return Micros(rapid.Int64Range(0, int64(most)).Draw(t, name)) }
+	for i := range set.Classes {
+		c := &set.Classes[i]
+		c.Aim = span("aim", 5*Second)
+		c.Deadline = c.Aim + 1 + span("late", 20*Second)
+		c.LateWorth = rapid.SampledFrom([]float64{0, 0.3, 0.7, 1}).Draw(t, "late worth")
+		c.Worth = rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "worth")
+		c.Window = 30 * Second
+	}
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(0, nil)
+	n := 0
+	for range rapid.IntRange(1, 4).Draw(t, "times") {
+		var evs []Event
+		for range rapid.IntRange(0, 30).Draw(t, "messages") {
+			n++
+			class := rapid.IntRange(0, 2).Draw(t, "class")
+			evs = append(evs, Call{ID: fmt.Sprint(n), Dest: int64(rapid.IntRange(1, 2).Draw(t, "dest")), Tenant: -1, Class: class,
+				Left: Second/2 + span("left", 3*set.Classes[class].Deadline),
+				Past: Past{Held: rapid.IntRange(0, 5).Draw(t, "held") == 0}})
+		}
+		s.Step(s.now+span("pause", 4*Second), evs)
+		for _, m := range s.all() { // some may have run
+			if m.class.Effect == Keyed && m.group != nil && rapid.IntRange(0, 5).Draw(t, "may run") == 0 {
+				s.dequeue(m)
+				m.mayRun, m.firstMay, m.owed = true, s.now, false
+				s.enqueue(m)
+			}
+		}
+		for _, d := range s.order {
+			if rapid.Bool().Draw(t, "learnt") {
+				for range 6 {
+					d.hist.add(s.now, 1000+span("took", 3*Second), false)
+				}
+				s.refreshAll(d)
+			}
+		}
+	}
+	s.step++
+	return s
+}
+
+// order is the order in which all cursors together give what waits.
+func (s *Sender) sorted() (out []*msg) {
+	var next merge
+	for _, d := range s.order {
+		d.load, d.lookedIn = float64(1+d.lane.inflight), s.step
+		for _, g := range d.groups {
+			next = s.cursors(next, g)
+		}
+	}
+	heap.Init(&next)
+	for len(next) > 0 {
+		out = append(out, next[0].m)
+		if s.advance(next[0]); next[0].m == nil {
+			heap.Pop(&next)
+		} else {
+			heap.Fix(&next, 0)
+		}
+	}
+	return out
+}
+
+// The cursors give what waits in the order of rate, and all of it.
+func TestCursorsGiveTheOrderOfRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawn(t)
+		got := s.sorted()
+		var want []*msg
+		for _, m := range s.all() {
+			if m.group != nil && (m.owed || s.now+max(s.usual(m), leastUsual) <= m.deadline) {
+				m.prio = s.rate(m)
+				want = append(want, m)
+			}
+		}
+		slices.SortFunc(want, sooner)
+		if len(got) != len(want) {
+			t.Fatalf("%d messages of %d", len(got), len(want))
+		}
+		for i, m := range got {
+			// Two whose rates differ by rounding alone may change places.
+			if x := want[i]; m != x && math.Abs(m.prio-x.prio) > 1e-9*math.Abs(x.prio) {
+				t.Fatalf("at %d: %s of rate %g, want %s of rate %g", i, m.id, m.prio, x.id, x.prio)
+			} else if m != x && m.prio == x.prio && x.prio > 1e-290 {
+				t.Fatalf("at %d: %s, want %s of the same rate", i, m.id, x.id)
+			}
+		}
+	})
+}
+
+// ---- The structures ------------------------------------------------------------------
+
+func TestSortedIsASortedList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l sorted
+		var plain []item
+		seq := 0
+		span := rapid.SampledFrom([]int64{3, 1000, 1 << 40}).Draw(t, "span")
+		for range rapid.IntRange(1, 4).Draw(t, "rounds") {
+			for range rapid.IntRange(0, 1200).Draw(t, "in") {
+				seq++
+				x := item{Micros((int64(seq)*2654435761)%span) + Micros(rapid.SampledFrom([]int64{0, 1}).Draw(t, "more")), &msg{seq: seq}}
+				l.insert(x)
+				plain = append(plain, x)
+			}
+			for range rapid.IntRange(0, len(plain)).Draw(t, "out") {
+				i := (seq * 40503) % len(plain)
+				seq++
+				l.remove(plain[i])
+				plain = slices.Delete(plain, i, i+1)
+			}
+		}
+		slices.SortFunc(plain, func(a, b item) int {
+			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.m.seq, b.m.seq))
+		})
+		i := 0
+		for p := (place{}); ; p = l.next(p) {
+			x, ok := l.get(p)
+			if !ok {
+				break
+			}
+			if i >= len(plain) || x != plain[i] || l.index(p) != i {
+				t.Fatalf("at %d of %d", i, len(plain))
+			}
+			i++
+		}
+		if i != len(plain) || l.n != i {
+			t.Fatalf("%d of %d", i, len(plain))
+		}
+	})
+}
+
+func TestAlarmsGoOffInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h alarms
+		all := make([]alarm, rapid.IntRange(1, 60).Draw(t, "alarms"))
+		set := map[*alarm]Micros{}
+		for range rapid.IntRange(1, 300).Draw(t, "changes") {
+			a := &all[rapid.IntRange(0, len(all)-1).Draw(t, "which")]
+			at := Micros(rapid.Int64Range(0, 50).Draw(t, "at"))
+			if at == 0 {
+				h.set(a, never)
+				delete(set, a)
+			} else {
+				h.set(a, at)
+				set[a] = at
+			}
+		}
+		last := Micros(0)
+		for a := h.due(100); a != nil; a = h.due(100) {
+			if set[a] != a.at || a.at < last || a.i != 0 {
+				t.Fatalf("%d after %d, want %d", a.at, last, set[a])
+			}
+			last = a.at
+			delete(set, a)
+		}
+		if len(set) > 0 || h.next() != never {
+			t.Fatalf("%d left", len(set))
+		}
+	})
+}
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -93,6 +94,9 @@
 	restarts bool // processes die, and others take up what they have left
 	upgrades bool // or hand over all that they know, with their calls out
 	memories map[int64]Recall
+	twin     *Sender // if there is one, it judges all that is held in each step, and has to decide the same
+	steady   bool    // a step in each tick
+	often    int     // mean gap of arrivals, in milliseconds; 0 for 75
 }
 
 type wmsg struct {
@@ -164,7 +168,7 @@
 		var evs []Event
 		evs = append(evs, w.due()...)
 		if w.now < 40*Second && w.now >= next {
-			next = w.now + Micros(w.rnd.IntN(150_000))
+			next = w.now + Micros(w.rnd.IntN(2000*cmp.Or(w.often, 75)))
 			evs = append(evs, w.arrival())
 			if w.rnd.IntN(40) == 0 { // a clump
 				for range 15 {
@@ -180,7 +184,7 @@
 			m.ended = true // withdrawn, or ended long ago
 			evs = append(evs, ClientGone{m.id}, ClientGone{"nobody"}, Due{3})
 		}
-		if len(evs) > 0 {
+		if len(evs) > 0 || w.steady {
 			w.run(evs...)
 		}
 		if w.restarts {
@@ -203,14 +207,23 @@
 	}
 }
 
-// restart has the process die and another one take up what the first has left. What was out may have run; what
-// was told of waits is kept, as is what was last told of destinations.
-func (w *world) restart() {
-	s, err := New(w.set, w.rnd.Uint64())
+// renew puts a new Sender in the place of the one at hand.
+func (w *world) renew() {
+	w.t.Helper()
+	seed, err := w.rnd.Uint64(), error(nil)
+	if w.s, err = New(w.set, seed); err == nil && w.twin != nil {
+		w.twin, err = New(w.set, seed)
+	}
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.s, w.queue, w.slots = s, nil, 0
+}
+
+// restart has the process die and another one take up what the first has left. What was out may have run; what
+// was told of waits is kept, as is what was last told of destinations.
+func (w *world) restart() {
+	w.renew()
+	w.queue, w.slots = nil, 0
 	clear(w.quiet) // the rest of a key is not kept
 	cached := Endpoints{Form: ListCached}
 	for _, id := range w.order {
@@ -246,11 +259,7 @@
 // upgrade has the process hand over to another one, with its calls out.
 func (w *world) upgrade() {
 	all, keys := w.s.HandOver(w.now)
-	s, err := New(w.set, w.rnd.Uint64())
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	w.s = s
+	w.renew()
 	full := Endpoints{Form: ListFull}
 	for _, id := range w.order {
 		row := w.eps[id].row
@@ -402,7 +411,11 @@
 func (w *world) run(evs ...Event) {
 	opened := map[EndpointID]*wcall{}
 	count := map[EndpointID]int{}
-	for _, a := range w.s.Step(w.now, evs) {
+	acts := w.s.Step(w.now, evs)
+	if w.twin != nil {
+		w.same(acts, w.twin.stepBySort(w.now, evs))
+	}
+	for _, a := range acts {
 		w.trace = append(w.trace, fmt.Sprintf("%d %#v", w.now, a))
 		switch a := a.(type) {
 		case CallOut:
--- a/logic/state.go
+++ b/logic/state.go
@@ -21,11 +21,19 @@
 	came   int     // messages since the last outage began
 	downAt Micros  // when that was seen
 	rank   float64 // messages ahead in the pass at hand
+	load   float64 // calls out at the start of the pass, and one
 	restTo Micros  // its cold endpoints rest until then after a restart
 
 	noted, urgent bool   // it has news for a later process; of its health
 	recalled      bool   // an earlier process's have been taken up
 	toldAt        Micros // when they were last told
+
+	groups              []*group // of what waits
+	msgs, held, waiting int      // in the books; of these, not over; of these, not out
+	active              bool     // the next step looks at it
+	again               Micros   // when to look again, as far as the pass at hand has found
+	shutIn, lookedIn    int      // the step in which nothing more could go; in which it was looked at
+	wake                alarm
 }
 
 type lane struct {
@@ -115,9 +123,16 @@
 	over     bool
 	flows    bool
 	prio     float64
+
+	group  *group  // nil while it is out
+	until  Micros  // until when it can wait
+	stands int     // where in its group
+	ahead  float64 // messages of its destination that go first
+	alarm  *alarm  // while it rests
 }
 
 type keyLine struct {
+	key   string
 	q     []*msg
 	quiet Micros
 	by    *msg
@@ -153,7 +168,14 @@
 	gone     []*endpoint // off the list, not yet forgotten
 	forgetAt Micros
 	msgs     map[string]*msg
-	held     []*msg // messages not over, in order of arrival
+	held     int // messages not over
+	waiting  int // of these, those not out
+	groups   []*group
+	active   []*dest // to be looked at
+	alarms   alarms
+	came     []*msg   // in this step
+	shedAt   int      // the group that is judged next, if they are many
+	emptied  []string // keys that have had no message for a moment at least
 	flying   []*attempt
 	busy     int // slots in use
 	seq      int
@@ -206,6 +228,7 @@
 	tau    Micros // 0: waiting is best
 	median Micros
 	p95    Micros
+	shown  Micros // what Sender.learn took for usual the last time
 }
 
 func (s *Sender) do(a Action) { s.out = append(s.out, a) }
@@ -217,6 +240,7 @@
 		s.gone = append(s.gone, e)
 	}
 	e.state, e.goneAt = Gone, s.now
+	s.touch(e.dest)
 	e.dest.eps = slices.DeleteFunc(e.dest.eps, func(x *endpoint) bool { return x == e })
 }
 
@@ -240,24 +264,27 @@
 		return true
 	})
 	used := map[*dest]bool{}
-	for _, m := range s.msgs {
-		used[m.dest] = true
-	}
 	for _, e := range s.gone {
 		used[e.dest] = true
 	}
 	s.order = slices.DeleteFunc(s.order, func(d *dest) bool {
-		if len(d.eps) > 0 || used[d] || s.now < d.used+idleAge {
+		if len(d.eps) > 0 || d.msgs > 0 || used[d] || s.now < d.used+idleAge {
 			return false
 		}
 		delete(s.dests, d.id)
+		s.alarms.set(&d.wake, never)
 		return true
 	})
-	for key, l := range s.keys {
-		if len(l.q) == 0 && s.now >= l.quiet {
+	s.emptied = slices.DeleteFunc(s.emptied, func(key string) bool {
+		l := s.keys[key]
+		if l != nil && len(l.q) == 0 && s.now < l.quiet {
+			return false
+		}
+		if l != nil && len(l.q) == 0 {
 			delete(s.keys, key)
 		}
-	}
+		return true
+	})
 }
 
 func (s *Sender) dest(id int64) *dest {
@@ -265,6 +292,7 @@
 	if d == nil {
 		d = &dest{id: id, lane: &lane{}, used: s.now, toldAt: s.now}
 		s.dests[id] = d
+		d.wake.d = d
 		s.order = append(s.order, d)
 	}
 	return d
@@ -315,6 +343,9 @@
 
 // report takes what an answer tells of the limit.
 func (s *Sender) report(e *endpoint, load []float64) {
+	if e.dest.waiting > 0 { // before the answer changes the pace
+		s.settle(e.lane)
+	}
 	if e.lane.spent = false; load == nil {
 		return
 	}
@@ -330,15 +361,36 @@
 func (s *Sender) close(m *msg) {
 	if !m.over {
 		m.over = true
-		s.held = slices.DeleteFunc(s.held, func(x *msg) bool { return x == m })
+		s.held--
+		m.dest.held--
+		if m.group != nil {
+			s.dequeue(m)
+		}
 	}
 	if m.out != nil {
 		return
 	}
 	delete(s.msgs, m.id)
-	if l := m.line; l != nil {
+	m.dest.msgs--
+	if m.line != nil {
+		s.leave(m)
+	}
+}
+
+// leave takes a message off the line of its key.
+func (s *Sender) leave(m *msg) {
+	l := m.line
+	m.line = nil
+	if l.q[0] != m {
 		l.q = slices.DeleteFunc(l.q, func(x *msg) bool { return x == m })
-		m.line = nil
+		return
+	}
+	l.q[0] = nil
+	if l.q = l.q[1:]; len(l.q) == 0 {
+		l.q = nil
+		s.emptied = append(s.emptied, l.key)
+	} else if x := l.q[0]; x.group != nil {
+		s.ready(x)
 	}
 }
 
@@ -369,7 +421,7 @@
 	e.sent, l.sent = append(trim(e.sent, keep), s.now), append(trim(l.sent, keep), s.now)
 	// What goes to a lane that is cold shows nothing of what it takes: the budget rests on the peak, and would
 	// rise with each call that it lets through.
-	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool { return x.cold && x.lane == l }) {
+	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool { return s.isCold(x) && x.lane == l }) {
 		l.peak = max(l.peak, float64(since(l.sent, s.now-Second)))
 	}
 }
@@ -425,6 +477,7 @@
 	seen := s.byClass[class.Name]
 	if seen == nil { // of earlier settings
 		seen = &hist{}
+		s.byClass[class.Name] = seen
 	}
 	s.seq++
 	m := &msg{id: c.ID, class: class, seen: seen, most: most, dest: s.dest(c.Dest), seq: s.seq, step: s.step,
@@ -433,17 +486,22 @@
 	m.dest.came++
 	m.share, m.owed = s.shareOf(c.Tenant), c.Past.Held && c.Past.Tries == 0
 	s.msgs[m.id] = m
-	s.held = append(s.held, m)
+	s.held++
+	m.dest.held++
+	m.dest.msgs++
+	s.came = append(s.came, m)
 	if class.KeepOrder && c.Key != "" {
 		line := s.keys[c.Key]
 		if line == nil {
-			line = &keyLine{}
+			line = &keyLine{key: c.Key}
 			s.keys[c.Key] = line
 		}
 		line.q = append(line.q, m)
 		m.line = line
 	}
-	s.resume(m, c.Past)
+	if s.resume(m, c.Past); m.out == nil && !m.over {
+		s.enqueue(m)
+	}
 }
 
 // keepOnly takes off the list what is not among the entries.
@@ -466,7 +524,7 @@
 	if s.set.MaxOpen == 0 {
 		return 0
 	}
-	return float64(len(s.held)) / float64(s.set.MaxOpen)
+	return float64(s.held) / float64(s.set.MaxOpen)
 }
 
 // log writes a line for the people on call, within the cap.
@@ -524,20 +582,27 @@
 	case Told:
 		if e := s.eps[ev.Endpoint]; e != nil {
 			e.lane.until = max(e.lane.until, s.now+ev.Left)
+			s.touch(e.dest)
 		}
 	case Heard:
 		if e := s.eps[ev.Endpoint]; e != nil {
 			if e.turn = max(ev.Turn, 1); ev.Out || ev.Try {
 				s.heard(e, ev)
 			}
+			s.touch(e.dest)
 		}
 	case Retune:
 		if Check(s.set, ev.Settings) == nil {
 			s.retune(ev.Settings)
+			for _, g := range s.groups {
+				s.refresh(g)
+				s.touch(g.dest)
+			}
 		}
 	case KeyRest:
 		if s.keys[ev.Key] == nil {
-			s.keys[ev.Key] = &keyLine{}
+			s.keys[ev.Key] = &keyLine{key: ev.Key}
+			s.emptied = append(s.emptied, ev.Key)
 		}
 		s.keys[ev.Key].quiet = max(s.keys[ev.Key].quiet, s.now+ev.Left)
 	case Recall:
--- a/logic/types.go
+++ b/logic/types.go
@@ -220,6 +220,64 @@
 	Turn     int  // while it is out, single trials are to be so many times rarer than by one alone; 0 for 1
 }
 
+// Memory is what is known of a destination, for a process that comes after this one. Spans are those since
+// something was, or [Unseen]. It tells nothing of calls that are out.
+type Memory struct {
+	Dest      int64
+	Sick      bool   // an endpoint is out, or not warm yet after an outage
+	Used      Micros // since its last message came
+	Came      int    // messages since the last outage began
+	Down      Micros // since that was seen
+	Lane      LaneMemory
+	Endpoints []EndpointMemory
+	Took      TookMemory
+	Exact     bool // nothing has happened since, and nothing is left out; see [Sender.HandOver]
+}
+
+// Unseen is the span since what has not been yet.
+const Unseen = 365 * 24 * 3600 * Second
+
+// LaneMemory is what is known of a limit.
+type LaneMemory struct {
+	Limit  float64 // calls a second that reports have told; 0 if none has
+	Pace   float64 // calls a second; 0 for none
+	Halved Micros
+	Peak   float64 // most calls in a second
+	LaneExact
+}
+
+// EndpointMemory is what is known of an endpoint.
+type EndpointMemory struct {
+	Endpoint             EndpointID
+	Lane                 LaneMemory // of its own, at kinds with routes apart
+	Out, Cold            bool
+	Back                 Micros // since its return
+	Good, Bad            Micros // since the last good answer and the last failure
+	Well                 Micros // since the last answer that speaks for it alone
+	Gap                  Micros // between single trials
+	Failing              float64
+	Slow                 Micros // its usual latency
+	Fails, Fulls, Resets int
+	EndpointExact
+}
+
+// TookMemory is a histogram of latencies: weights by bin, in sixteenths; bins without are left out.
+type TookMemory struct {
+	Bins    []uint8
+	Weights []uint16
+	Cuts    uint16
+	Since   Micros // since the last sample
+}
+
+// Recall hands a Sender what an earlier one has told of a destination, Age before now. It follows the list
+// that names the endpoints; what this Sender has learnt itself stands.
+type Recall struct {
+	Age    Micros
+	Memory Memory
+}
+
+func (Recall) isEvent() {}
+
 // Closing says that the sender stops within Left: what cannot finish by then is
 // not to be begun.
 type Closing struct{ Left Micros }
--- a/logic/untried_test.go
+++ b/logic/untried_test.go
@@ -52,7 +52,7 @@
 		if u.listed > 0 && now == sec(u.listed) {
 			evs = append(evs, row)
 		}
-		if came += u.fresh * seconds(set.Tick); came >= 1 && len(r.s.held) < set.MaxOpen {
+		if came += u.fresh * seconds(set.Tick); came >= 1 && r.s.held < set.MaxOpen {
 			came--
 			evs = append(evs, r.call(0))
 		}
