--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	share := shareOut(cfg.Limits.Sockets, set.Slots, store.MostFiles(int64(cfg.Limits.DiskMB*1e6)-config.KeptRoom), consoleFiles(cfg.Console))
+	share := shareOut(descriptors(cfg.Limits.Sockets, log), set.Slots, store.MostFiles(int64(cfg.Limits.DiskMB*1e6)-config.KeptRoom), consoleFiles(cfg.Console))
 	if from != nil {
 		cfg.Known.Generation = from.Legacy.Version
 	}
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -81,7 +81,7 @@
 	s := &Standalone{file: f, cluster: others, life: parts.Life, log: parts.Log}
 	list, log := f.List(s.part()), parts.Log
 	s.source = static.New(list)
-	share := shareOut(f.Limits.Descriptors, f.Limits.Slots, store.MostFiles(int64(f.Limits.DiskMB)*1e6), consoleFiles(f.Console.Listen))
+	share := shareOut(descriptors(f.Limits.Descriptors, log), f.Limits.Slots, store.MostFiles(int64(f.Limits.DiskMB)*1e6), consoleFiles(f.Console.Listen))
 	transport := httptransport.New(time.Duration(f.Transport.HTTP.ConnectTimeout), time.Duration(f.Transport.HTTP.Idle),
 		httptransport.Limits{Open: share.calls, Idle: share.idle, PerEndpoint: f.Limits.Slots})
 	transport.Source, transport.RetryAfter = net.ParseIP(f.Transport.HTTP.Source), true
