--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -210,13 +210,41 @@
 			if trials/5 > 0.75*limit {
 				t.Errorf("%v, %d senders: %.1f calls a second to a partner that is out", how, n, trials/5)
 			}
-			if full/10 < atLeast(n, 0.4, 0.6)*limit {
+			if n >= 20 && full/10 < 0.6*limit {
 				t.Errorf("%v, %d senders: %.1f taken a second 15 s after the return", how, n, full/10)
 			}
 		}
 	}
 }
 
+// What a few senders take of a limit after the return hangs on chance: a draw of the sort that dispatch had gave 0.366
+// to 0.600 at three senders, so one draw tells little. The mean of eight, which was 0.43 and 0.45 there, is held to.
+func TestFewTakeTheLimitAgain(t *testing.T) {
+	const limit, down, up = 50.0, 10.0, 20.0
+	for _, how := range []Outcome{RefusedConn, Full} {
+		for _, n := range []int{1, 3} {
+			sum, least := 0.0, 1.0
+			for draw := range uint64(8) {
+				f := newFleet(n, limit, 0.8*limit)
+				f.rnd = rand.New(rand.NewPCG(uint64(n), 100+draw))
+				f.refuse = func(at float64) Outcome {
+					if at >= down && at < up {
+						return how
+					}
+					return Completed
+				}
+				f.run(45)
+				_, full := f.count(35, 45)
+				sum, least = sum+full/10/limit, min(least, full/10/limit)
+			}
+			t.Logf("%v, %d senders: %.3f of the limit in the mean, %.3f at least", how, n, sum/8, least)
+			if sum/8 < 0.42 || least < 0.36 {
+				t.Errorf("%v, %d senders: %.3f of the limit taken in the mean, %.3f at least", how, n, sum/8, least)
+			}
+		}
+	}
+}
+
 // crowdOf makes a sender among many at one destination with a told rate.
 func crowdOf(t *testing.T, senders int, rate float64, seed uint64) *rig {
 	t.Helper()
