End clients' RESP2 connections in order: shut for sending, read on, then close

Cause: a connection that rests was closed outright, to make room, after 4 s and at a shutdown. A request that came between the look at it and the close was left unread, so the system sent a reset, and an answer that it still held back went with it.

A request that has come before the shutdown is answered, and the connection stays. Connections that end are counted apart (room.Places): a sixteenth of clients' descriptors, taken off those of live ones; beyond, the one that has been ending for longest is closed at once. A half-sent request that makes room gets no error line, which would have been its answer.

--- a/internal/daemon/clients_test.go
+++ b/internal/daemon/clients_test.go
@@ -126,7 +126,7 @@
 		for _, slots := range []int{0, 6, 60, 300} {
 			const files = 18
 			s := shareOut(sockets, slots, files, 0)
-			if s.clients+s.calls+otherSockets+files > sockets || s.idle > s.calls || s.clients*3 < sockets-otherSockets {
+			if s.clients+s.ending+s.calls+otherSockets+files > sockets || s.idle > s.calls || s.clients*3 < sockets-otherSockets || s.ending < leastEnding {
 				t.Errorf("%d sockets, %d slots: %+v", sockets, slots, s)
 			}
 		}
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -6,12 +6,15 @@
 const (
 	otherSockets   = 20 // standard streams, listener, poller, discovery, notices
 	defaultSockets = 1024
+	endingPart     = 16 // one of so many places for clients is for connections that end
+	leastEnding    = 4
 	lingering      = 8 // calls that are given up and not closed yet, and probes
 )
 
 // shares says how many connections each side may hold.
 type shares struct {
 	clients int
+	ending  int // of clients, beside those: ended, and not closed yet
 	calls   int // to endpoints, idle ones counted
 	idle    int // to endpoints, without a call
 }
@@ -29,5 +32,6 @@
 		clients = max(rest-files-need, rest*2/5)
 	}
 	calls := max(rest-clients-files, 1)
-	return shares{clients: clients, calls: calls, idle: max(calls*2/3, 1)}
+	ending := max(clients/endingPart, leastEnding)
+	return shares{clients: clients - ending, ending: ending, calls: calls, idle: max(calls*2/3, 1)}
 }
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -76,7 +76,7 @@
 	if memory <= 0 {
 		memory = defaultMemory
 	}
-	p.front = resp.New(p.core, resp.Options{Listen: cfg.Listen, Connections: share.clients,
+	p.front = resp.New(p.core, resp.Options{Listen: cfg.Listen, Connections: share.clients, Ending: share.ending,
 		Memory: int64(memory * (1 << 20) / largeShare), Numbers: true,
 		Ready: func() bool { return life.View().Ready }, Log: log})
 	return p, nil
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -114,13 +114,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s.serve(share.clients, stream)
+	s.serve(share, stream)
 	return s, nil
 }
 
 // serve makes the fronts. Each has an even share of the connections, and of the
 // memory for large requests.
-func (s *Standalone) serve(connections int, stream *httpfront.Stream) {
+func (s *Standalone) serve(share shares, stream *httpfront.Stream) {
 	f := s.file
 	n := 0
 	for _, on := range []bool{f.Front.RESP != nil, f.Front.HTTP != nil} {
@@ -135,12 +135,12 @@
 	memory := int64(f.Limits.MemoryMB) << 20 / largeShare / int64(n)
 	if h := f.Front.HTTP; h != nil {
 		s.http = httpfront.New(s.core.Door(n), httpfront.Options{Listen: h.Listen, Certificate: h.Certificate, Key: h.Key,
-			Connections: connections / n, Memory: memory, LongPolls: h.LongPolls, Streams: h.Streams,
+			Connections: (share.clients + share.ending) / n, Memory: memory, LongPolls: h.LongPolls, Streams: h.Streams,
 			MaxWait: time.Duration(h.MaxWait), Tenant: tenant, Stream: stream, Defaults: s.core.Deadline, Log: s.log})
 		s.fronts = append(s.fronts, s.http)
 	}
 	if r := f.Front.RESP; r != nil {
-		s.resp = resp.New(s.core.Door(n), resp.Options{Listen: r.Listen, Connections: connections / n, Memory: memory,
+		s.resp = resp.New(s.core.Door(n), resp.Options{Listen: r.Listen, Connections: share.clients / n, Ending: share.ending / n, Memory: memory,
 			Tenant: tenant,
 			Ready:  func() bool { return s.life.View().Ready }, Log: s.log})
 		s.fronts = append(s.fronts, s.resp)
--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -32,7 +32,8 @@
 // Options set a front up.
 type Options struct {
 	Listen      string // address
-	Connections int    // at once; the idlest makes room for a new one
+	Connections int    // at once that clients may ask on; the idlest makes room for a new one
+	Ending      int    // beside them, that are ended and read on until their clients end them; 1 at least
 	Memory      int64  // bytes that large requests may hold until they are answered
 	// Numbers says that partners are named by numbers, as on the platform.
 	Numbers bool
@@ -53,7 +54,9 @@
 	ln       net.Listener
 	large    chan struct{} // a place for each large request that is not answered
 	mu       sync.Mutex
+	places   room.Places
 	sessions map[*session]struct{}
+	ending   int           // of them, those that end
 	closing  bool          // no new connection is taken, and old ones end
 	retiring bool          // connections end between requests
 	hurried  bool          // and soon, if a request has begun to come
@@ -64,7 +67,8 @@
 // New makes a front for a core.
 func New(c Core, opts Options) *Front {
 	return &Front{core: c, opts: opts, log: opts.Log, sessions: map[*session]struct{}{},
-		large: make(chan struct{}, max(int(opts.Memory/largeRequest), 8))}
+		places: room.Places{Live: opts.Connections, Ending: max(opts.Ending, 1)},
+		large:  make(chan struct{}, max(int(opts.Memory/largeRequest), 8))}
 }
 
 // Listen opens the listener.
@@ -108,9 +112,8 @@
 				return
 			}
 			c.log.Warn("accept", "err", err)
-			if !c.evict() {
-				time.Sleep(acceptPause) // out of descriptors, say: one that closes makes room
-			}
+			c.spare()
+			time.Sleep(acceptPause) // out of descriptors, say: one that closes makes room
 			continue
 		}
 		s := &session{c: c, conn: conn, opened: time.Now()}
@@ -122,58 +125,85 @@
 		go func() {
 			defer c.wg.Done()
 			s.handle()
-			c.remove(s)
 			conn.Close()
+			c.remove(s)
 		}()
 	}
 }
 
-// admit takes a connection on. When all places are taken, the idlest one without a
-// request under way goes; if there is none, the new one does.
+// admit takes a connection on, once others have made room for it where package room
+// says so; false if none can.
 func (c *Front) admit(s *session) bool {
-	for {
-		c.mu.Lock()
-		if c.closing {
-			c.mu.Unlock()
-			return false
-		}
-		if len(c.sessions) < c.opts.Connections {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for made := true; made && !c.closing; {
+		switch c.places.Next(len(c.sessions)-c.ending, c.ending) {
+		case room.Admit:
 			c.sessions[s] = struct{}{}
 			c.wg.Add(1)
-			c.mu.Unlock()
 			return true
-		}
-		c.mu.Unlock()
-		if !c.evict() {
-			return false
+		case room.End:
+			made = c.end()
+		case room.Cut:
+			made = c.cut()
 		}
 	}
+	return false
 }
 
-// evict closes a connection to make room; false if a request is under way on each.
-func (c *Front) evict() bool {
+// spare has a descriptor given back, when there is none for a new connection.
+func (c *Front) spare() {
 	c.mu.Lock()
-	s := c.idlest()
-	if s != nil {
-		s.gone = true
-		delete(c.sessions, s)
+	defer c.mu.Unlock()
+	if !c.cut() {
+		c.end()
 	}
-	c.mu.Unlock()
+}
+
+// end has the idlest connection end; false if a request is under way on each. Its own
+// goroutine ends it, unless a request has come by then. It is called under the lock.
+func (c *Front) end() bool {
+	s := c.idlest()
 	if s == nil {
 		return false
 	}
+	s.leave()
+	s.conn.SetReadDeadline(time.Now()) // wakes its reader
+	return true
+}
+
+// cut closes the connection that has been ending for longest, whatever its client
+// does; false if none ends that owes no answer. It is called under the lock.
+func (c *Front) cut() bool {
+	if c.ending == 0 {
+		return false
+	}
+	list, conns := make([]*session, 0, c.ending), make([]room.Conn, 0, c.ending)
+	for s := range c.sessions {
+		if !s.left.IsZero() {
+			list, conns = append(list, s), append(conns, room.Conn{Since: s.left, Answered: true, Busy: s.open > 0 && !s.begun})
+		}
+	}
+	i := room.Pick(conns, c.places.Live)
+	if i < 0 {
+		return false
+	}
+	s := list[i]
+	s.cut = true
+	delete(c.sessions, s)
+	c.ending--
 	s.conn.Close()
 	return true
 }
 
-// idlest picks the connection that is missed least, by what package room says; nil
-// if none may go. One on which a request has come that its reader has not seen yet
-// is not idle. It is called under the lock.
+// idlest picks the live connection that is missed least, by what package room says;
+// nil if none may go. One on which a request has come that its reader has not seen
+// yet is not idle. It is called under the lock.
 func (c *Front) idlest() *session {
 	list, conns := make([]*session, 0, len(c.sessions)), make([]room.Conn, 0, len(c.sessions))
 	for s := range c.sessions {
-		if s.open > 1 || s.open == 1 && !s.begun {
-			continue // it is owed an answer
+		if !s.left.IsZero() || s.buffered || s.open > 1 || s.open == 1 && !s.begun {
+			continue // it ends already, or is owed an answer
 		}
 		list = append(list, s)
 		conns = append(conns, room.Conn{Since: s.since, Answered: s.served, Begun: s.begun, Heard: time.Unix(0, s.heard.Load())})
@@ -194,6 +224,9 @@
 func (c *Front) remove(s *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, ok := c.sessions[s]; ok && !s.left.IsZero() {
+		c.ending--
+	}
 	delete(c.sessions, s)
 }
 
@@ -216,6 +249,10 @@
 		at := time.Now()
 		by := s.opened.Add(firstRetired)
 		switch {
+		case s.shut && !c.hurried: // it ends, and has its time
+			continue
+		case s.shut:
+			at = at.Add(lastRequest)
 		case s.open > 0 && !c.hurried: // it may have come in part, and has its time
 			continue
 		case s.open > 0:
@@ -250,9 +287,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func (c *Front) isRetiring() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.retiring
-}
--- /dev/null
+++ b/internal/front/resp/crossing_test.go
@@ -0,0 +1,333 @@
+package resp
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cometrack/internal/core"
+	"cometrack/internal/message"
+	"cometrack/internal/netutil"
+	"cometrack/internal/standin/byhand"
+)
+
+// counting takes every message on and counts them.
+type counting struct {
+	yes
+	mu sync.Mutex
+	n  int
+}
+
+func (c *counting) Submit(m *message.Message, answer chan<- core.Answer) {
+	c.mu.Lock()
+	c.n++
+	c.mu.Unlock()
+	c.yes.Submit(m, answer)
+}
+
+func (c *counting) taken() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+// crossed is a front's side of a connection. Before the front ends it in any way,
+// something else happens once.
+type crossed struct {
+	*net.TCPConn
+	once   *sync.Once
+	before func(net.Conn)
+}
+
+func (c crossed) Close() error {
+	c.once.Do(func() { c.before(c.TCPConn) })
+	return c.TCPConn.Close()
+}
+
+func (c crossed) CloseWrite() error {
+	c.once.Do(func() { c.before(c.TCPConn) })
+	return c.TCPConn.CloseWrite()
+}
+
+// crossing hands a front such connections.
+type crossing struct {
+	net.Listener
+	accepted chan *net.TCPConn
+	before   chan func(net.Conn) // for the next connection; none if it is empty
+}
+
+func (l crossing) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	before := func(net.Conn) {}
+	select {
+	case before = <-l.before:
+	default:
+	}
+	l.accepted <- conn.(*net.TCPConn)
+	return crossed{conn.(*net.TCPConn), new(sync.Once), before}, nil
+}
+
+// serveCrossing starts a front whose connections are such.
+func serveCrossing(t *testing.T, c Core, opts Options) (*Front, crossing) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	opts.Listen, opts.Log = "127.0.0.1:0", slog.New(slog.DiscardHandler)
+	f, l := New(c, opts), crossing{ln, make(chan *net.TCPConn, 16), make(chan func(net.Conn), 16)}
+	if !f.Use(l) {
+		t.Fatal("the front does not take the listener")
+	}
+	go f.Serve()
+	return f, l
+}
+
+const putLate = "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$4\r\nlate\r\n$20\r\nc=safe,d=9000,dest=1\r\n$1\r\nx\r\n"
+
+// A request that comes after the front has looked at a resting connection and before it ends that: its client hears
+// an orderly end with all answers before it, so that it sends the request anew, and the request is not acted upon.
+// The answer before it may be held back by the system still.
+func TestRequestCrossesEnd(t *testing.T) {
+	for name, end := range map[string]func(t *testing.T, f *Front){
+		"to make room": func(t *testing.T, f *Front) {
+			if got := dial(t, f).do("PING"); got != "+PONG" {
+				t.Errorf("the new client gets %q", got)
+			}
+		},
+		"at a drain": func(t *testing.T, f *Front) { f.Retire(true) },
+		"at the end of the process": func(t *testing.T, f *Front) {
+			f.CloseListener()
+			go f.Shutdown(t.Context(), true)
+		},
+	} {
+		for _, held := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: ", its answer held back"}[held], func(t *testing.T) {
+				t.Parallel()
+				taken := &counting{}
+				f, l := serveCrossing(t, taken, Options{Connections: 1})
+				come, crossing := make(chan *client, 1), make(chan bool, 1)
+				l.before <- func(conn net.Conn) {
+					c := <-come
+					io.WriteString(c.conn, putLate)
+					byhand.Until(t, "request at the front", func() bool { _, data := netutil.Peek(conn); return data })
+					crossing <- true
+				}
+				c := dial(t, f)
+				conn := byhand.Await(t, l.accepted, "connection")
+				if held {
+					raw, _ := conn.SyscallConn()
+					raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_CORK, 1) })
+				}
+				io.WriteString(c.conn, "*1\r\n$4\r\nPING\r\n")
+				byhand.Until(t, "answer", func() bool {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					for s := range f.sessions {
+						return s.served && s.open == 0
+					}
+					return false
+				})
+				come <- c
+				end(t, f)
+				byhand.Await(t, crossing, "crossing")
+				if got, err := io.ReadAll(c.r); err != nil || string(got) != "+PONG\r\n" {
+					t.Errorf("the client reads %q, %v", got, err)
+				}
+				c.conn.Close()
+				byhand.Until(t, "end of the connection", func() bool {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					return f.ending == 0
+				})
+				if n := taken.taken(); n != 0 {
+					t.Errorf("%d messages were taken on after the end", n)
+				}
+			})
+		}
+	}
+}
+
+// settle waits until the front knows of no request that it has not answered.
+func settle(t *testing.T, f *Front) {
+	t.Helper()
+	byhand.Until(t, "rest", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for s := range f.sessions {
+			if s.open > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// rest has so many clients ask once and stay.
+func rest(t *testing.T, f *Front, n int) (all []*client) {
+	t.Helper()
+	for range n {
+		all = append(all, dial(t, f))
+		if got := all[len(all)-1].do("PING"); got != "+PONG" {
+			t.Fatal(got)
+		}
+		settle(t, f)
+	}
+	return all
+}
+
+// Connections that are ended and not closed by their clients are bounded beside those that are live: the longest so is
+// closed, and new clients are served all the same.
+func TestEndingIsBounded(t *testing.T) {
+	const live, ending = 3, 2
+	f := serve(t, Options{Connections: live, Ending: ending})
+	all := rest(t, f, live+ending+4)
+	f.mu.Lock()
+	if n := len(f.sessions); n > live+ending || f.ending > ending {
+		t.Errorf("%d connections, %d of them ending", n, f.ending)
+	}
+	f.mu.Unlock()
+	for i, c := range all {
+		if i < len(all)-live {
+			if got := c.ended(); got != "" {
+				t.Errorf("client %d got %q", i, got)
+			}
+		} else if got := c.do("PING"); got != "+PONG" {
+			t.Errorf("client %d gets %q", i, got)
+		}
+	}
+}
+
+// A client that never ends its side is waited for a while, and less when the process ends.
+func TestEndingTakesNotLong(t *testing.T) {
+	for name, hurry := range map[string]bool{"at a handover": false, "at the end of the process": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := serve(t, Options{})
+			all := rest(t, f, 20)
+			ctx, stop := context.WithTimeout(t.Context(), byhand.Patience)
+			defer stop()
+			at := time.Now()
+			f.CloseListener()
+			f.Shutdown(ctx, hurry)
+			took, most := time.Since(at), core.Times.Stop-core.Times.Door
+			if took > most {
+				t.Errorf("ended after %v, and has %v", took, most)
+			}
+			t.Logf("ended after %v", took)
+			for _, c := range all {
+				if got := c.ended(); got != "" {
+					t.Errorf("a client got %q", got)
+				}
+			}
+		})
+	}
+}
+
+// An answer that is on its way as connections begin to be closed between requests: its connection is closed right after
+// it, not only when it has rested for long.
+func TestAnswerCrossesDrain(t *testing.T) {
+	later := later{yes{}, make(chan chan<- core.Answer, 1)}
+	f, _ := serveCrossing(t, later, Options{Connections: 2})
+	c := dial(t, f)
+	io.WriteString(c.conn, putLate)
+	answer := byhand.Await(t, later.asked, "message")
+	f.Retire(true)
+	at := time.Now()
+	answer <- core.Answer{}
+	if got := c.ended(); got != "+OK\r\n" {
+		t.Errorf("got %q", got)
+	}
+	if took := time.Since(at); took >= idleClient {
+		t.Errorf("it is kept for %v", took)
+	}
+}
+
+// later has messages answered by the test.
+type later struct {
+	yes
+	asked chan chan<- core.Answer
+}
+
+func (l later) Submit(_ *message.Message, answer chan<- core.Answer) { l.asked <- answer }
+
+// What a client sends on and on after the end is read up to a bound.
+func TestEndingReadsNotMuch(t *testing.T) {
+	f := serve(t, Options{Connections: 1})
+	c := rest(t, f, 1)[0]
+	rest(t, f, 1) // the first one makes room
+	if got := c.ended(); got != "" {
+		t.Fatalf("got %q", got)
+	}
+	var err error
+	sent := 0
+	for err == nil && sent < 64*lingerBytes {
+		var n int
+		n, err = c.conn.Write(make([]byte, lingerRead))
+		sent += n
+	}
+	if err == nil || errors.Is(err, context.DeadlineExceeded) || byhand.IsTimeout(err) {
+		t.Errorf("the front takes %d bytes: %v", sent, err)
+	}
+}
+
+// A half-sent request whose connection makes room gets no error, which would be its answer: it is sent anew. One that is
+// whole by then is answered.
+func TestHalfSentMakesRoom(t *testing.T) {
+	f := serve(t, Options{Connections: 1})
+	half := dial(t, f)
+	io.WriteString(half.conn, "*1\r\n$4\r\nPI")
+	byhand.Until(t, "request at the front", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for s := range f.sessions {
+			return s.begun && s.heard.Load() != 0
+		}
+		return false
+	})
+	if got := dial(t, f).do("PING"); got != "+PONG" {
+		t.Errorf("a new client gets %q", got)
+	}
+	if got := half.ended(); got != "" {
+		t.Errorf("half-sent: %q", got)
+	}
+}
+
+// A request that has come by the time that its connection's goroutine sees that it has to end is served, and the
+// connection is live again.
+func TestRequestComesInTime(t *testing.T) {
+	f, l := serveCrossing(t, &counting{}, Options{Connections: 1})
+	c := dial(t, f)
+	conn := byhand.Await(t, l.accepted, "connection")
+	if got := c.do("PING"); got != "+PONG" {
+		t.Fatal(got)
+	}
+	settle(t, f)
+	f.mu.Lock() // the front has looked, and the reader can't go on
+	var s *session
+	for s = range f.sessions {
+	}
+	io.WriteString(c.conn, putLate)
+	byhand.Until(t, "request at the front", func() bool { _, data := netutil.Peek(conn); return data })
+	s.leave()
+	s.conn.SetReadDeadline(time.Now())
+	f.mu.Unlock()
+	if got := c.line(); got != "+OK" {
+		t.Errorf("got %q", got)
+	}
+	f.mu.Lock()
+	if f.ending != 0 || len(f.sessions) != 1 {
+		t.Errorf("%d connections, %d of them ending", len(f.sessions), f.ending)
+	}
+	f.mu.Unlock()
+}
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strings"
@@ -25,8 +24,9 @@
 	firstRetired = time.Second            // and for the first one on a new connection
 	maxErrors    = 16                     // errors in a row after which a connection is closed
 	errorPause   = 5 * time.Millisecond   // before the next request is read, for each error in a row
-	lingerClient = 500 * time.Millisecond // after an error, for the client to read it
-	lingerBytes  = 1 << 20
+	lingerClient = 500 * time.Millisecond // for the client to end a connection that is ended
+	lingerBytes  = 1 << 20                // that it may send until then
+	lingerRead   = 4 << 10                // at a time
 
 	answerTimeout = "-ERR request not complete in time\r\n"
 	answerTooMany = "-ERR too many errors\r\n"
@@ -47,11 +47,14 @@
 	written chan struct{}
 
 	// Under the lock of the front.
-	open   int       // requests that have begun to come and are not answered
-	begun  bool      // the last of them is not whole
-	served bool      // one has been answered
-	since  time.Time // when the last one was answered
-	gone   bool      // closed to make room
+	open     int       // requests that have begun to come and are not answered
+	begun    bool      // the last of them is not whole
+	buffered bool      // something of a further one has been read
+	served   bool      // one has been answered
+	since    time.Time // when the last one was answered
+	left     time.Time // when it was told to end, or began to; zero while it is live
+	shut     bool      // its client has been told
+	cut      bool      // it is closed
 
 	tenant string // that its token stands for
 	authed bool   // it has shown a token
@@ -67,18 +70,15 @@
 }
 
 func (s *session) handle() {
-	if !s.await(true) { // here, where the stack is small yet
-		return
-	}
-	last := s.read()
-	if s.queue != nil {
-		close(s.queue)
-		<-s.written
+	if s.await(true) { // here, where the stack is small yet
+		s.read()
+		if s.queue != nil {
+			close(s.queue)
+			<-s.written
+		}
 	}
 	s.rest()
-	if last {
-		s.linger()
-	}
+	s.linger()
 }
 
 // send queues an answer. Queue and writer are there from the first one on: a
@@ -126,12 +126,12 @@
 	return n, err
 }
 
-// read takes requests until the connection ends, and says whether an error line was the last word on it.
-func (s *session) read() bool {
+// read takes requests until the connection is to end.
+func (s *session) read() {
 	for first := true; first || s.await(false); first = false {
 		if n := s.errors.Load(); n >= maxErrors {
 			s.send(answer{line: answerTooMany})
-			return true
+			return
 		} else if n > 0 {
 			time.Sleep(time.Duration(n) * errorPause)
 		}
@@ -143,30 +143,29 @@
 			large = err == nil
 			return err
 		})
-		s.came()
+		live := s.came(err == nil)
 		switch {
-		case err == nil:
+		case err == nil && live:
 			a := s.answer(args)
 			a.large = large
 			s.send(a)
 			if a.last {
-				return true
+				return
 			}
 			continue
 		case errors.Is(err, errProtocol):
 			s.send(answer{line: fmt.Sprintf("-ERR %v\r\n", err), large: large})
-			return true
+			return
 		case errors.Is(err, errNoPlace):
 			s.send(answer{line: busyLine(0)})
-			return true
-		case errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded) && live:
 			s.send(answer{line: answerTimeout, large: large})
-			return true
+			return
 		}
 		s.send(answer{large: large})
-		return false
+		return
 	}
-	return false
 }
 
 // requestBy is when the request that has begun to come must be whole.
@@ -194,11 +193,13 @@
 }
 
 // deadline sets how long the reader waits: while serving, while connections retire,
-// and while they do in a hurry.
+// and while they do in a hurry. One that is told to end waits for nothing.
 func (s *session) deadline(serving, retiring, hurried time.Duration) {
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	switch {
+	case !s.left.IsZero():
+		serving = 0
 	case s.c.hurried:
 		serving = min(serving, hurried)
 	case s.c.retiring:
@@ -217,13 +218,11 @@
 			s.deadline(idleClient, 0, 0)
 		}
 		err := s.readable()
-		if errors.Is(err, os.ErrDeadlineExceeded) && s.c.isRetiring() {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			// A request may have come just before: it is answered, for its client counts on that.
-			if alive, data := netutil.Peek(s.conn); !alive || !data {
-				return false
+			if _, data := netutil.Peek(s.conn); data {
+				err = nil
 			}
-			s.deadline(lastRequest, lastRequest, lastRequest)
-			err = s.readable()
 		}
 		if err != nil {
 			return false
@@ -231,9 +230,30 @@
 	}
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
+	if !s.live() {
+		return false
+	}
 	s.open++
-	s.begun = true
-	return !s.gone
+	s.begun, s.buffered = true, false
+	return true
+}
+
+// live keeps a connection that was told to end, since it turns out not to rest; false
+// if it is too late for that. It is called under the lock.
+func (s *session) live() bool {
+	if !s.cut && !s.left.IsZero() {
+		s.left = time.Time{}
+		s.c.ending--
+	}
+	return !s.cut
+}
+
+// leave counts a connection among those that end. It is called under the lock.
+func (s *session) leave() {
+	if !s.cut && s.left.IsZero() {
+		s.left = time.Now()
+		s.c.ending++
+	}
 }
 
 // readable waits for something to read.
@@ -245,11 +265,16 @@
 	return err
 }
 
-// came notes that a request has come whole, or that nothing more of it will.
-func (s *session) came() {
+// came notes that a request has come whole, or that nothing more of it will, and says
+// whether the connection is to go on.
+func (s *session) came(whole bool) bool {
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
-	s.begun = false
+	s.begun, s.buffered = false, s.r.Buffered() > 0
+	if whole {
+		return s.live()
+	}
+	return s.left.IsZero() && !s.cut
 }
 
 // write sends the answers in the order of their requests, those that are ready together.
@@ -303,17 +328,39 @@
 	s.open--
 	s.served = true
 	s.since = time.Now()
+	if s.open == 0 && s.c.retiring { // its reader waits as if it might rest
+		s.conn.SetReadDeadline(s.since)
+	}
 }
 
-// linger lets the client read the last line: a close with unread input would be a
-// reset, which can destroy what is on its way.
+// linger ends the connection. The client is told first; what it sends still is read,
+// until it has ended its side too, and is not acted upon: it will be sent again on
+// another connection. A close with unread input would be a reset, which destroys what
+// is on its way to the client or held back by the system.
 func (s *session) linger() {
+	if t, ok := s.conn.(interface{ CloseWrite() error }); ok {
+		t.CloseWrite()
+	}
 	s.c.mu.Lock()
-	s.since = time.Time{} // the first to go
+	s.leave()
+	s.shut = true
+	by := time.Now().Add(lingerClient)
+	if s.c.hurried {
+		by = time.Now().Add(lastRequest)
+	}
+	s.conn.SetReadDeadline(by)
 	s.c.mu.Unlock()
-	if t, ok := s.conn.(*net.TCPConn); ok {
-		t.CloseWrite()
+	var b []byte
+	for n := 0; n < lingerBytes; {
+		if ok, err := netutil.WaitReadable(s.conn); ok && err != nil {
+			return
+		}
+		if b == nil { // few send anything
+			b = make([]byte, lingerRead)
+		}
+		k, err := s.conn.Read(b)
+		if n += k; err != nil {
+			return
+		}
 	}
-	s.deadline(lingerClient, lingerClient, lastRequest)
-	io.Copy(io.Discard, io.LimitReader(s.conn, lingerBytes))
 }
--- a/internal/front/room/room.go
+++ b/internal/front/room/room.go
@@ -1,5 +1,5 @@
-// Package room decides which connection of a front makes room for a new one when
-// all places are taken. It has no I/O and no clock.
+// Package room decides what makes room for a new connection of a front when all
+// places are taken. It has no I/O and no clock.
 package room
 
 import "time"
@@ -7,6 +7,35 @@
 // silentPart of all places may be held by connections that have sent nothing.
 const silentPart = 0.75
 
+// Places are those of a front, a descriptor each.
+type Places struct {
+	Live int // of connections that clients may ask on
+	// Ending are further ones, of connections that the front has ended and that are
+	// read on until their clients end them too; 1 at least.
+	Ending int
+}
+
+// Step is what comes next when a client has connected.
+type Step int
+
+// The steps. After [End] and [Cut], the next one has to be asked for.
+const (
+	Admit Step = iota // it has its place
+	End               // one that is live has to end
+	Cut               // one that is ending is closed at once
+)
+
+// Next says what comes next for one more connection, with so many there.
+func (p Places) Next(live, ending int) Step {
+	switch {
+	case live >= p.Live:
+		return End
+	case live+ending >= p.Live+max(p.Ending, 1):
+		return Cut
+	}
+	return Admit
+}
+
 // Conn is what is known of a connection.
 type Conn struct {
 	Since    time.Time // it was opened, or had its last answer
--- a/internal/front/room/room_test.go
+++ b/internal/front/room/room_test.go
@@ -63,3 +63,49 @@
 		}
 	})
 }
+
+// Clients come, are ended to make room, and end: neither bound is passed, nobody is ended or cut off while there is a
+// place, and one comes in unless all are owed an answer.
+func TestPlacesRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Places{Live: rapid.IntRange(1, 6).Draw(t, "live"), Ending: rapid.IntRange(0, 3).Draw(t, "ending")}
+		most := p.Live + max(p.Ending, 1)
+		live, ending := 0, 0
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0: // a client ends its side
+				ending = max(ending-1, 0)
+			case 1: // one that was told to end had asked just before
+				if ending > 0 {
+					live, ending = live+1, ending-1
+				}
+			default:
+				for steps := 0; ; steps++ {
+					next := p.Next(live, ending)
+					if steps > 2*most {
+						t.Fatal("no end of making room")
+					}
+					if next == Admit {
+						live++
+						break
+					}
+					switch {
+					case next == End && live < p.Live:
+						t.Fatalf("one of %d live is ended", live)
+					case next == Cut && (ending == 0 || live+ending < most):
+						t.Fatalf("one is cut off, %d live and %d ending", live, ending)
+					}
+					if next == End {
+						live--
+						ending++
+					} else {
+						ending--
+					}
+				}
+				if live > p.Live || live+ending > most {
+					t.Fatalf("%d live and %d ending with %+v", live, ending, p)
+				}
+			}
+		}
+	})
+}
