Leave the partner out of the list in plays of restarts that list it late

Cause: the play wrote a null for no endpoints. The program reads that as a key that is missing, keeps the last good configuration, and knows the partner at once, so the rows "listed after 2 s" of measure untried and "killed, listed late" of TestUntriedAfterRestart were not what they say.

Change: an empty list, and a call before the list names the partner is a fault of the play. With the null back, "killed, listed late" fails: "called before it was listed".

--- a/internal/standin/untried/untried.go
+++ b/internal/standin/untried/untried.go
@@ -172,7 +172,7 @@
 	plat.mu.Unlock()
 	rows := plat.rows
 	if u.Listed > 0 {
-		rows = nil
+		rows = []map[string]any{} // none; without the key the last good configuration would stand, and name the partner
 	}
 	if err := write(rows); err != nil {
 		return c, err
@@ -191,7 +191,10 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	called, ran := map[string]bool{}, map[string]bool{}
-	for _, k := range to.Calls()[before:] {
+	for i, k := range to.Calls()[before:] {
+		if i == 0 && u.Listed > 0 && k.At.Before(plat.after) {
+			c.Faults = append(c.Faults, "called before it was listed")
+		}
 		called[k.ID] = true
 		ran[k.ID] = ran[k.ID] || k.Status == http.StatusOK
 	}
