Move virtual time beneath the plays that use it

view/play and replicate/play imported internal/standin/virtual: two imports that ran upwards, from what decides to a room of stand-ins.

Measured: go vet ./internal/... is clean; go test -short ./internal/view/... ./internal/replicate/... passes (10.9 s and 18.6 s).

--- a/internal/replicate/play/world.go
+++ b/internal/replicate/play/world.go
@@ -10,7 +10,7 @@
 
 	"cometrack/internal/facts"
 	"cometrack/internal/replicate"
-	"cometrack/internal/standin/virtual"
+	"cometrack/internal/virtual"
 )
 
 // Options say what a world is like.
--- a/internal/view/play/world.go
+++ b/internal/view/play/world.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"cometrack/internal/standin/virtual"
 	"cometrack/internal/view"
+	"cometrack/internal/virtual"
 )
 
 // Options say what a world is like.
--- a/internal/standin/virtual/clock.go
+++ b/internal/virtual/clock.go
@@ -1,5 +1,3 @@
-// Package virtual is time as plays have it: events happen in order, and nothing
-// waits for a real clock.
 package virtual
 
 import (
