Check the sum of a play's parts only where one has grown

Need: plays of hundreds of senders. The check of the sum ran over all processes, with a map of their names, at every step of each, and a name was looked for by walking the list.

The sum is checked after a step that has made a part larger, after a pause ends, after a guard's word and, new, after a process is killed; between these no part can grow. Names are found by a map.

--- a/internal/view/play/world.go
+++ b/internal/view/play/world.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"cometrack/internal/view"
@@ -70,8 +72,11 @@
 	delay   time.Duration
 	at      map[string]*Proc // who listens at an address; nil for nobody
 	addrs   int
-	started int // processes
+	started int   // processes
+	twice   int   // processes beside another of their name
+	lives   []int // processes of each sender that run
 	homes   map[int]home
+	numbers map[string]int // of senders by name
 }
 
 // home is a sender's folder.
@@ -88,7 +93,11 @@
 		opts.Seats = opts.Senders
 	}
 	w := &World{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), loss: map[[2]int]float64{}, cut: map[[2]int]bool{},
-		at: map[string]*Proc{}, homes: map[int]home{}, delay: opts.Delay, Procs: make([]*Proc, opts.Senders)}
+		at: map[string]*Proc{}, homes: map[int]home{}, delay: opts.Delay, Procs: make([]*Proc, opts.Senders), lives: make([]int, opts.Senders),
+		numbers: make(map[string]int, opts.Senders)}
+	for i := range opts.Senders {
+		w.numbers[w.name(i)] = i
+	}
 	for i := range opts.Senders {
 		w.Start(i, Kept)
 	}
@@ -142,6 +151,9 @@
 		Lease: w.opts.Lease, Every: w.opts.Every, Drift: w.opts.Drift, Join: join, Kept: h.kept, Home: h.home, Seed: w.rng.Uint64()}, p.local(w))
 	w.Procs[i], w.at[addr] = p, p
 	w.All = append(w.All, p)
+	if w.lives[i]++; w.lives[i] > 1 {
+		w.twice++
+	}
 	w.do(p, func() view.Ready { return p.Machine.Tick(p.local(w)) })
 	return p
 }
@@ -163,9 +175,13 @@
 	for i, x := range w.All {
 		if x == p {
 			w.All = append(w.All[:i], w.All[i+1:]...)
+			if w.lives[p.N]--; w.lives[p.N] > 0 {
+				w.twice--
+			}
 			break
 		}
 	}
+	w.check()
 }
 
 // Pause stops a process, which goes on after a span if it still runs.
@@ -189,6 +205,7 @@
 	if p.fenced {
 		p.fenced = false
 		w.do(p, func() view.Ready { return p.Machine.FencedBy(p.local(w)) })
+		w.check()
 	}
 	late := p.backlog
 	p.backlog = nil
@@ -228,11 +245,14 @@
 	if !p.Running || p.Paused {
 		return
 	}
+	before := w.part(p)
 	r := step()
 	p.Part = r.Part
 	w.False += p.Machine.Wrong - p.wrong
 	p.wrong = p.Machine.Wrong
-	w.check()
+	if w.part(p) > before {
+		w.check()
+	}
 	if r.Save {
 		h := w.homes[p.N]
 		if h.addr == p.Addr {
@@ -278,17 +298,16 @@
 }
 
 func (w *World) named(name string) *Proc {
-	for _, p := range w.Procs {
-		if p != nil && p.Name == name {
-			return p
-		}
+	if i, ok := w.numbers[name]; ok {
+		return w.Procs[i]
 	}
 	return nil
 }
 
 // owner is the sender of an address, whoever listens there.
 func owner(addr string) (i int) {
-	fmt.Sscanf(addr, "%d:", &i)
+	number, _, _ := strings.Cut(addr, ":")
+	i, _ = strconv.Atoi(number)
 	return i
 }
 
@@ -368,11 +387,7 @@
 // check is made whenever a part may have grown. A second process with a name that is
 // cut off from all who know the first may have its least part beside it.
 func (w *World) check() {
-	names := map[string]bool{}
-	for _, p := range w.All {
-		names[p.Name] = true
-	}
-	second := float64(len(w.All)-len(names)) * w.opts.Least / float64(w.opts.Seats)
+	second := float64(w.twice) * w.opts.Least / float64(w.opts.Seats)
 	if sum := w.Sum() - second; sum > w.Worst {
 		w.Worst, w.When = sum, w.Now
 	}
