Run hollow senders: many to a process, over the real sockets and codec

Need: the mesh has to be measured at sizes that processes of the program do not reach on one machine, with the faults of the target: restarts of 18%, two killed, a rack, a zone, regions apart.

internal/standin/hollow opens package cluster many times in one process, each with a loopback address, a folder, a checked configuration and a clock of its own. Package cluster has one seam for it, cluster.Rig: the clock, the socket and the dialer; without one it is as it was.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -44,6 +44,7 @@
 	Guard               []string
 	Facts               bool // what is learnt of partners is shared
 	Log                 *slog.Logger
+	Rig                 *Rig // nil for the kernel's clock and sockets
 }
 
 // Cluster is one sender among others.
@@ -70,7 +71,7 @@
 
 	// What follows belongs to the loop.
 	machine *view.Machine
-	udp     *net.UDPConn
+	udp     Datagrams
 	home    kept
 	said    int // lines within the second
 	second  int64
@@ -118,7 +119,7 @@
 // copy of the facts is behind, and then the least until it has caught up. After a pause
 // that is so at once, before the loop has seen that there was one.
 func (c *Cluster) Allowed() float64 {
-	t := now()
+	t := c.opts.now()
 	if c.opts.Facts && t-time.Duration(c.ran.Load()) > replicate.Missed*c.opts.Every {
 		return 0
 	}
@@ -130,7 +131,7 @@
 
 // Share is the part that rates are to be planned with: that of [Cluster.Allowed], but
 // for moments.
-func (c *Cluster) Share() float64 { return c.share(now()) }
+func (c *Cluster) Share() float64 { return c.share(c.opts.now()) }
 
 func (c *Cluster) share(t time.Duration) float64 {
 	p := c.part.Load()
@@ -176,9 +177,9 @@
 // Status is the view as it is now.
 func (c *Cluster) Status() (s Status, err error) {
 	err = c.within(func() {
-		s.Status = c.machine.Status(now())
+		s.Status = c.machine.Status(c.opts.now())
 		if m := c.lore.machine; m != nil {
-			s.Knowledge = &Knowledge{Status: m.Status(now())}
+			s.Knowledge = &Knowledge{Status: m.Status(c.opts.now())}
 		}
 	})
 	if s.Knowledge != nil {
@@ -191,7 +192,7 @@
 
 // Leave gives up all but the least part for good, and tells the others.
 func (c *Cluster) Leave() error {
-	return c.within(func() { c.follow(c.machine.Leave(now())) })
+	return c.within(func() { c.follow(c.machine.Leave(c.opts.now())) })
 }
 
 // Forget takes a sender for ended that does not run.
@@ -199,7 +200,7 @@
 	var err error
 	if e := c.within(func() {
 		var r view.Ready
-		r, err = c.machine.Forget(now(), name)
+		r, err = c.machine.Forget(c.opts.now(), name)
 		c.follow(r)
 	}); e != nil {
 		return e
@@ -250,19 +251,19 @@
 		}
 		return
 	}
-	c.udp = udp
+	c.udp = c.opts.datagrams(udp)
 	var helpers sync.WaitGroup
 	defer helpers.Wait()
-	defer udp.Close()
+	defer c.udp.Close()
 	c.machine = c.newMachine()
 	c.lore.open(c.opts)
 	guard := newDoor(c, ln)
 	defer guard.close()
-	helpers.Go(func() { c.read(udp) })
+	helpers.Go(func() { c.read(c.udp) })
 	helpers.Go(func() { guard.run(ctx) })
 	helpers.Go(func() { c.save(ctx) })
 	c.log.Info("cluster", "at", c.opts.Listen, "advertise", c.opts.Advertise, "incarnation", c.home.Incarnation, "known", len(c.home.Senders))
-	c.follow(c.machine.Tick(now()))
+	c.follow(c.machine.Tick(c.opts.now()))
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -272,33 +273,33 @@
 		case f := <-c.cmds:
 			f()
 		case m := <-c.in:
-			c.follow(c.machine.Take(now(), m))
+			c.follow(c.machine.Take(c.opts.now(), m))
 		case m := <-c.lore.in:
-			c.spread(c.lore.machine.Take(now(), m))
+			c.spread(c.lore.machine.Take(c.opts.now(), m))
 		case f := <-c.lore.tells:
 			c.learn(f)
 		case <-timer.C:
-			if t := now(); t >= c.machine.Next() || c.lore.machine == nil || t >= c.part.Load().Until {
+			if t := c.opts.now(); t >= c.machine.Next() || c.lore.machine == nil || t >= c.part.Load().Until {
 				c.follow(c.machine.Tick(t))
 			}
 		}
 		next := c.machine.Next()
-		if p := c.part.Load(); p.Until > now() { // what the others hear of it comes with a tick; the part ends when it ends
+		if p := c.part.Load(); p.Until > c.opts.now() { // what the others hear of it comes with a tick; the part ends when it ends
 			next = min(next, p.Until)
 		}
 		if m := c.lore.machine; m != nil {
-			if now() >= m.Next() {
-				c.spread(m.Tick(now()))
+			if c.opts.now() >= m.Next() {
+				c.spread(m.Tick(c.opts.now()))
 			}
 			next = min(next, m.Next())
-			if least := time.Duration(c.behind.Load()); least > now() {
+			if least := time.Duration(c.behind.Load()); least > c.opts.now() {
 				next = min(next, least)
 			} else if least > 0 && !c.lean {
 				c.notify()
 			}
-			c.lean = c.behind.Load() > 0 && time.Duration(c.behind.Load()) <= now()
+			c.lean = c.behind.Load() > 0 && time.Duration(c.behind.Load()) <= c.opts.now()
 		}
-		timer.Reset(max(next-now(), 0))
+		timer.Reset(max(next-c.opts.now(), 0))
 	}
 }
 
@@ -306,7 +307,7 @@
 	o := c.opts
 	return view.New(view.Config{Name: o.Name, Addr: o.Advertise, Zone: o.Zone, Version: o.Version, ID: rand.Uint64() | 1, Incarnation: c.home.Incarnation,
 		Seats: o.Seats, Least: o.Least, Lease: o.Lease, Every: o.Every, Drift: o.Drift, Join: o.Join, Kept: c.home.Senders, Home: c.home.Home,
-		Seed: rand.Uint64()}, now())
+		Seed: rand.Uint64()}, c.opts.now())
 }
 
 // follow does what a step asks for, in its order.
@@ -315,7 +316,7 @@
 	id, ran := c.machine.Life()
 	c.stamp.set(id, ran)
 	c.ran.Store(int64(ran))
-	if t := now(); old.At(t) != r.Part.At(t) || old.Now != r.Part.Now {
+	if t := c.opts.now(); old.At(t) != r.Part.At(t) || old.Now != r.Part.Now {
 		c.notify()
 	}
 	if r.Save {
@@ -395,7 +396,7 @@
 }
 
 // read takes datagrams until the socket is closed.
-func (c *Cluster) read(udp *net.UDPConn) {
+func (c *Cluster) read(udp Datagrams) {
 	buf := make([]byte, maxPacket+1)
 	for {
 		n, _, err := udp.ReadFromUDP(buf)
@@ -458,7 +459,7 @@
 // probe asks at an address whether a life goes on.
 func (c *Cluster) probe(p view.Probe) {
 	tell := func(found view.End) {
-		go c.within(func() { c.follow(c.machine.Probed(now(), p, found)) })
+		go c.within(func() { c.follow(c.machine.Probed(c.opts.now(), p, found)) })
 	}
 	select {
 	case c.asks <- struct{}{}:
@@ -479,7 +480,7 @@
 	if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	conn, err := d.Dial("tcp", p.Addr)
+	conn, err := c.opts.dial(&d, p.Addr)
 	if isRefused(err) {
 		return view.Refused
 	}
--- a/internal/cluster/knowledge.go
+++ b/internal/cluster/knowledge.go
@@ -59,7 +59,7 @@
 func (k *knowledge) open(o Options) {
 	if o.Facts {
 		k.machine = replicate.New(replicate.Config{Own: facts.Origin{Name: o.Name, Life: rand.Uint64() | 1}, Zone: o.Zone, Drift: o.Drift,
-			Every: o.Every, Patience: o.Lease, Rate: spreadRate, Seed: rand.Uint64()}, now())
+			Every: o.Every, Patience: o.Lease, Rate: spreadRate, Seed: rand.Uint64()}, o.now())
 	}
 }
 
@@ -72,7 +72,6 @@
 
 // tell hands the loop a fact of this sender. It never waits.
 func (k *knowledge) tell(f finding) {
-	f.at = now()
 	select {
 	case k.tells <- f:
 	default:
@@ -128,13 +127,13 @@
 
 // TellWait has the others told that an endpoint has told to be left alone for a span.
 func (c *Cluster) TellWait(partner, endpoint string, d time.Duration) {
-	c.lore.tell(finding{subject: facts.Subject{Kind: facts.Wait, Partner: partner, Endpoint: endpoint}, span: min(d, facts.MostFor)})
+	c.lore.tell(finding{at: c.opts.now(), subject: facts.Subject{Kind: facts.Wait, Partner: partner, Endpoint: endpoint}, span: min(d, facts.MostFor)})
 }
 
 // TellHealth has the others told that this sender has found an endpoint out, or has
 // had an answer to a call that was begun after the lesson with that mark.
 func (c *Cluster) TellHealth(partner, endpoint string, out bool, mark uint64) {
-	c.lore.tell(finding{subject: facts.Subject{Kind: facts.Health, Partner: partner, Endpoint: endpoint}, value: facts.Value{Out: out}, span: outFor, mark: mark})
+	c.lore.tell(finding{at: c.opts.now(), subject: facts.Subject{Kind: facts.Health, Partner: partner, Endpoint: endpoint}, value: facts.Value{Out: out}, span: outFor, mark: mark})
 }
 
 // learn puts a finding into this sender's copy, and out to the others.
@@ -143,7 +142,7 @@
 	if m == nil || f.span <= 0 {
 		return
 	}
-	t := now()
+	t := c.opts.now()
 	if f.subject.Kind == facts.Health {
 		own, left := m.Copy().Says(t, f.subject)
 		if f.value.Out && own.Out && left > outFor-outAgain {
@@ -251,7 +250,7 @@
 			err = fmt.Errorf("this sender shares no facts: its file says facts = false")
 			return
 		}
-		list := m.Copy().List(now(), partner, mostListed+1)
+		list := m.Copy().List(c.opts.now(), partner, mostListed+1)
 		if out.More = len(list) > mostListed; out.More {
 			list = list[:mostListed]
 		}
--- a/internal/standin/fleet/relay.go
+++ b/internal/standin/fleet/relay.go
@@ -113,7 +113,7 @@
 		}
 		out, spans := r.udp, []time.Duration{0}
 		if i, ok := r.net.from(src); ok {
-			out, spans = r.net.relays[i].udp, r.net.links[i][r.who].copies()
+			out, spans = r.net.relays[i].udp, r.net.links[i][r.who].copies(size)
 		}
 		for _, d := range spans {
 			if d == 0 {
--- /dev/null
+++ b/internal/standin/hollow/slope.go
@@ -0,0 +1,80 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// slope is one figure over sizes, as docs/measurements/capacity has it.
+type slope struct {
+	Name     string  `json:"name"`
+	Measures string  `json:"measures"`
+	Way      string  `json:"way"`
+	Command  string  `json:"command"`
+	Commit   string  `json:"commit"`
+	Machine  string  `json:"machine"`
+	SizeOf   string  `json:"size_of"`
+	Unit     string  `json:"unit"`
+	Base     float64 `json:"base"`
+	Points   []point `json:"points"`
+	Target   float64 `json:"target"`
+	Bound    float64 `json:"bound"`
+	From     string  `json:"from"`
+	Note     string  `json:"note,omitempty"`
+}
+
+type point struct {
+	Size   float64   `json:"size"`
+	Values []float64 `json:"values"`
+}
+
+const targetSenders = 560
+
+// WriteSlopes writes what grows with the senders as a file each into a folder; results
+// are in order of size, and equal sizes are repeats. Fewer than four sizes are no
+// slope, and sizes must be twofold apart.
+func WriteSlopes(dir, command string, results []Result) error {
+	if len(results) == 0 {
+		return nil
+	}
+	first := results[0]
+	make := func(name, measures, unit string, bound float64, of func(Result) float64) slope {
+		s := slope{Name: first.Way + "-" + name, Measures: measures, Way: first.Way, Command: command, Commit: first.Commit, Machine: first.Machine,
+			SizeOf: "senders", Unit: unit, Target: targetSenders, Bound: bound, From: "the operators' size of two years: 560 senders"}
+		if first.Way == "hollow" {
+			s.Note = fmt.Sprintf("%d of the cores", first.Cores)
+		}
+		for _, r := range results {
+			if n := len(s.Points); n == 0 || s.Points[n-1].Size != float64(r.Senders) {
+				s.Points = append(s.Points, point{Size: float64(r.Senders)})
+			}
+			p := &s.Points[len(s.Points)-1]
+			p.Values = append(p.Values, of(r))
+		}
+		return s
+	}
+	list := []slope{
+		make("control-bytes", "bytes a second that a sender sends for control, calm, with 28 of each datagram", "B/s", MostBytes, func(r Result) float64 { return r.Rates.BytesOut }),
+		make("control-datagrams", "datagrams a second that a sender sends, calm", "1/s", 0, func(r Result) float64 { return r.Rates.Out }),
+	}
+	if first.Way == "hollow" {
+		list = append(list,
+			make("control-core", "processor time of the process over senders, calm", "cores", MostCore, func(r Result) float64 { return r.Rates.Core }),
+			make("control-memory", "resident memory of the process above its base over senders", "B", MostMemory, func(r Result) float64 { return r.Rates.Memory }))
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for _, s := range list {
+		text, err := json.MarshalIndent(s, "", "\t")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, s.Name+"."+s.Commit+".json"), append(text, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/view/play/world.go
+++ b/internal/view/play/world.go
@@ -63,7 +63,9 @@
 	False  int // times that a life was taken for gone and heard again
 	Flaps  int // changes of state of senders that ran throughout
 	Sent   int
-	SizeOf func(m *view.Message) int
+	SizeOf func(m *view.Message) int // bytes; nil for not counted
+	// Traffic is what each sender has sent and taken.
+	Traffic []Traffic
 
 	opts    Options
 	rng     *rand.Rand
@@ -79,6 +81,12 @@
 	numbers map[string]int // of senders by name
 }
 
+// Traffic counts messages, and their bytes as SizeOf has them.
+type Traffic struct {
+	Out, In           int64
+	OutBytes, InBytes int64
+}
+
 // home is a sender's folder.
 type home struct {
 	inc  uint64
@@ -94,6 +102,7 @@
 	}
 	w := &World{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), loss: map[[2]int]float64{}, cut: map[[2]int]bool{},
 		at: map[string]*Proc{}, homes: map[int]home{}, delay: opts.Delay, Procs: make([]*Proc, opts.Senders), lives: make([]int, opts.Senders),
+		Traffic: make([]Traffic, opts.Senders),
 		numbers: make(map[string]int, opts.Senders)}
 	for i := range opts.Senders {
 		w.numbers[w.name(i)] = i
@@ -269,11 +278,15 @@
 		}
 	}
 	for _, out := range r.Send {
-		w.Sent++
+		size := 0
 		if w.SizeOf != nil {
-			p.Bytes += w.SizeOf(out.Message)
+			size = w.SizeOf(out.Message)
 		}
-		w.send(p, out)
+		w.Sent++
+		p.Bytes += size
+		t := &w.Traffic[p.N]
+		t.Out, t.OutBytes = t.Out+1, t.OutBytes+int64(size)
+		w.send(p, out, int64(size))
 	}
 	for _, x := range r.Probe {
 		w.probe(p, x)
@@ -324,13 +337,17 @@
 	return d
 }
 
-func (w *World) send(p *Proc, out view.Envelope) {
+func (w *World) send(p *Proc, out view.Envelope, size int64) {
 	if !w.path(p.N, owner(out.To)) {
 		return
 	}
 	m := *out.Message
 	w.After(w.wait(), func() {
 		to := w.at[out.To]
+		if to != nil {
+			t := &w.Traffic[to.N]
+			t.In, t.InBytes = t.In+1, t.InBytes+size
+		}
 		switch {
 		case to == nil:
 		case to.Paused:
