--- a/cmd/measure/hollow.go
+++ b/cmd/measure/hollow.go
@@ -34,6 +34,7 @@
 	dir := fs.String("dir", "", "folder for the senders' folders")
 	out := fs.String("out", "", "folder for each fleet's result as JSON")
 	slopes := fs.String("slopes", "", "folder for the slopes as JSON")
+	name := fs.String("commit", "", "of the program; empty for what its build says")
 	line := fs.Bool("timeline", true, "print each fleet's time line")
 	if err := fs.Parse(args); err != nil {
 		return err
@@ -59,7 +60,7 @@
 			return err
 		}
 		for i := range *repeats {
-			r, err := hollow.Measure(hollow.Play{Virtual: *virtual, Calm: second(*calm), Lasts: second(*lasts), Patience: *patience, Faults: faults,
+			r, err := hollow.Measure(hollow.Play{Virtual: *virtual, Calm: second(*calm), Lasts: second(*lasts), Patience: *patience, Faults: faults, Commit: *name,
 				Options: hollow.Options{Senders: n, Lease: *lease, Drift: 0.01, Dir: *dir, Facts: *facts, Seed: *seed + uint64(i)}})
 			if *line {
 				r.WriteTimeline(os.Stdout)
--- a/internal/standin/hollow/measure.go
+++ b/internal/standin/hollow/measure.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"cmp"
 	"fmt"
 	"runtime"
 	"time"
@@ -21,6 +22,7 @@
 	Lasts    time.Duration // each fault
 	Patience time.Duration // for each thing that is waited for
 	Faults   []Fault
+	Commit   string // of the program; empty for what its build says
 }
 
 // Rates are what each sender spends in the mean, calm.
@@ -70,7 +72,7 @@
 	began := time.Now()
 	runtime.GC()
 	base := resident()
-	r = Result{Way: "hollow", Senders: p.Senders, Lease: p.Lease.Seconds(), Facts: p.Facts, Seed: p.Seed, Cores: runtime.GOMAXPROCS(0), Commit: commit(),
+	r = Result{Way: "hollow", Senders: p.Senders, Lease: p.Lease.Seconds(), Facts: p.Facts, Seed: p.Seed, Cores: runtime.GOMAXPROCS(0), Commit: cmp.Or(p.Commit, commit()),
 		Machine: machine(), Met: -1}
 	var s stage
 	var f *fleet
