--- a/internal/standin/hollow/fleet.go
+++ b/internal/standin/hollow/fleet.go
@@ -264,14 +264,14 @@
 
 // belief is what the senders believe of each other, at the end of a play.
 type belief struct {
-	agree   bool // each that runs takes all others for here, or for ended
-	wrong   int  // lives that were taken for gone and heard again
-	dropped int  // packets that the senders dropped themselves
-	mute    int  // senders whose loop did not answer
+	agree   bool           // each that runs takes all others for here, or for ended
+	wrong   int            // lives that were taken for gone and heard again
+	dropped map[string]int // packets that the senders dropped themselves, by reason
+	mute    int            // senders whose loop did not answer
 }
 
 func (f *fleet) believes() (b belief) {
-	b.agree = true
+	b.agree, b.dropped = true, map[string]int{}
 	runs := map[string]bool{}
 	for i, s := range f.senders {
 		runs[name(i)] = s.life != nil
@@ -280,8 +280,8 @@
 		if s.life == nil {
 			continue
 		}
-		for _, n := range s.life.Dropped() {
-			b.dropped += n
+		for why, n := range s.life.Dropped() {
+			b.dropped[why] += n
 		}
 		status, err := s.life.Status()
 		if err != nil {
--- a/internal/standin/hollow/measure.go
+++ b/internal/standin/hollow/measure.go
@@ -41,30 +41,30 @@
 // Result is what a fleet was measured with and what came of it. Times are in seconds,
 // and -1 for what did not come about.
 type Result struct {
-	Way      string        `json:"way"` // "hollow" or "virtual"
-	Senders  int           `json:"senders"`
-	Lease    float64       `json:"lease_s"`
-	Facts    float64       `json:"facts_s"` // told over the fleet
-	Seed     uint64        `json:"seed"`
-	Cores    int           `json:"cores"` // that the process could use
-	Commit   string        `json:"commit"`
-	Machine  string        `json:"machine"`
-	Met      float64       `json:"met_s"` // until each counted all
-	Calm     float64       `json:"calm_s"`
-	Rates    Rates         `json:"rates"`  // each sender's
-	Kernel   Kernel        `json:"kernel"` // over the calm span
-	Lowest   float64       `json:"lowest_sum"`
-	Under    float64       `json:"under_s"`     // of the calm span, below [Floor]
-	Highest  float64       `json:"highest_sum"` // ever
-	Over     int           `json:"looks_over_one"`
-	Looks    int           `json:"looks"`
-	Faults   []FaultResult `json:"faults,omitempty"`
-	Agree    bool          `json:"views_agree"` // at the end
-	Wrong    int           `json:"wrongly_gone"`
-	Dropped  int           `json:"dropped"` // packets, by the senders themselves
-	Mute     int           `json:"mute"`    // senders whose loop did not answer at the end
-	Took     float64       `json:"took_s"`
-	Timeline []Row         `json:"timeline"`
+	Way      string         `json:"way"` // "hollow" or "virtual"
+	Senders  int            `json:"senders"`
+	Lease    float64        `json:"lease_s"`
+	Facts    float64        `json:"facts_s"` // told over the fleet
+	Seed     uint64         `json:"seed"`
+	Cores    int            `json:"cores"` // that the process could use
+	Commit   string         `json:"commit"`
+	Machine  string         `json:"machine"`
+	Met      float64        `json:"met_s"` // until each counted all
+	Calm     float64        `json:"calm_s"`
+	Rates    Rates          `json:"rates"`  // each sender's
+	Kernel   Kernel         `json:"kernel"` // over the calm span
+	Lowest   float64        `json:"lowest_sum"`
+	Under    float64        `json:"under_s"`     // of the calm span, below [Floor]
+	Highest  float64        `json:"highest_sum"` // ever
+	Over     int            `json:"looks_over_one"`
+	Looks    int            `json:"looks"`
+	Faults   []FaultResult  `json:"faults,omitempty"`
+	Agree    bool           `json:"views_agree"` // at the end
+	Wrong    int            `json:"wrongly_gone"`
+	Dropped  map[string]int `json:"dropped,omitempty"` // packets, by the senders themselves, by reason
+	Mute     int            `json:"mute"`              // senders whose loop did not answer at the end
+	Took     float64        `json:"took_s"`
+	Timeline []Row          `json:"timeline"`
 }
 
 // Measure starts a fleet, lets it meet, measures it calm, and plays faults.
@@ -187,8 +187,8 @@
 	if n := r.Kernel.Dropped; n > 0 {
 		say("the kernel dropped %d datagrams for full buffers, calm", n)
 	}
-	if r.Dropped > 0 {
-		say("senders dropped %d packets", r.Dropped)
+	for why, n := range r.Dropped {
+		say("senders dropped %d packets: %s", n, why)
 	}
 	if r.Wrong > 0 {
 		say("%d lives were taken for gone and heard again", r.Wrong)
