Let a probe be answered after its sender was closed, and count broken ones as one

Cause, found by hollow senders at 136 on two cores: an answer to a probe that was under way while the sender closed read the page that it shares with a guard after it had been unmapped, and the process died of a fault. A sender without a guard that hands over to its successor can meet it.

The page is read and written under a lock, and not once it is closed: the answer is about no life. Broken probes are one reason.

--- a/internal/cluster/guard.go
+++ b/internal/cluster/guard.go
@@ -36,7 +36,8 @@
 // stamp is a page that a sender and its guard share: the life, and when it last ran.
 type stamp struct {
 	file *os.File
-	page []byte
+	mu   sync.RWMutex // of what follows, against its end
+	page []byte       // nil once it is closed: an answer to a probe may still be under way
 }
 
 const stampSize = 4096
@@ -60,19 +61,30 @@
 		f.Close()
 		return nil, fmt.Errorf("stamp: %w", err)
 	}
-	return &stamp{f, page}, nil
+	return &stamp{file: f, page: page}, nil
 }
 
 func (s *stamp) word(i int) *uint64 { return (*uint64)(unsafe.Pointer(&s.page[8*i])) }
 
 // set notes that a life ran at a time.
 func (s *stamp) set(id uint64, ran time.Duration) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.page == nil {
+		return
+	}
 	atomic.StoreUint64(s.word(0), id)
 	atomic.StoreUint64(s.word(1), uint64(ran))
 }
 
-// get tells the life and when it last ran, as they belonged together.
+// get tells the life and when it last ran, as they belonged together; 0 once it is
+// closed, which is no life.
 func (s *stamp) get() (id uint64, ran time.Duration) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.page == nil {
+		return 0, 0
+	}
 	for {
 		id = atomic.LoadUint64(s.word(0))
 		ran = time.Duration(atomic.LoadUint64(s.word(1)))
@@ -83,7 +95,10 @@
 }
 
 func (s *stamp) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	unix.Munmap(s.page)
+	s.page = nil
 	s.file.Close()
 }
 
@@ -111,7 +126,12 @@
 			keys := ring.get()
 			var q ask
 			if err := readFrame(conn, keys, &q); err != nil {
-				if !errors.Is(err, io.EOF) {
+				var broken net.Error
+				switch {
+				case errors.Is(err, io.EOF):
+				case errors.As(err, &broken) || errors.Is(err, io.ErrUnexpectedEOF): // its text has addresses in it, and reasons are counted
+					drop(errBroken.Error())
+				default:
 					drop(err.Error())
 				}
 				return
--- a/internal/cluster/packet.go
+++ b/internal/cluster/packet.go
@@ -36,6 +36,7 @@
 	errOversize = errors.New("oversized packet")
 	errKey      = errors.New("wrong key")
 	errGarbage  = errors.New("packet that can't be read")
+	errBroken   = errors.New("probe that broke off")
 )
 
 var (
