Tell what a play in virtual time costs, and do not wait for views that cannot agree

At 136 senders on two cores the fleet never met, and the end of the play asked each of the senders for its view for another minute, a second each. The processor time of a play in virtual time, by virtual seconds, is that of the deciding package and of the play itself: it was left out and is told now, held to no bound.

Measured: go test ./internal/standin/hollow passes.

--- a/internal/standin/hollow/measure.go
+++ b/internal/standin/hollow/measure.go
@@ -33,7 +33,7 @@
 	Out      float64 `json:"datagrams_out_s"`
 	In       float64 `json:"datagrams_in_s"`
 	Probes   float64 `json:"probes_s"`
-	Core     float64 `json:"core"`   // of one; 0 in virtual time
+	Core     float64 `json:"core"`   // of one; in virtual time of what decides and of the play, by virtual seconds
 	Memory   float64 `json:"memory"` // resident bytes above those before the fleet; 0 in virtual time
 	Heap     float64 `json:"heap"`   // live bytes of that
 }
@@ -120,7 +120,11 @@
 		}
 	}
 	var b belief
-	w.until(p.Patience, func() bool { // those who have just heard of each other find it out with the next ticks
+	patience := p.Patience
+	if r.Met < 0 {
+		patience = 0 // they will not agree
+	}
+	w.until(patience, func() bool { // those who have just heard of each other find it out with the next ticks
 		b = s.believes()
 		return b.agree
 	})
@@ -150,8 +154,8 @@
 	r.Under, r.Lowest = below.Seconds(), lowest
 	r.Rates = Rates{BytesOut: float64(c.OutBytes) / each, BytesIn: float64(c.InBytes) / each, Lore: float64(c.Lore) / each, Out: float64(c.Out) / each,
 		In: float64(c.In) / each, Probes: float64(c.Probes) / each}
+	r.Rates.Core = used.Seconds() / each
 	if f != nil {
-		r.Rates.Core = used.Seconds() / each
 		r.Rates.Memory = float64(resident()-base) / float64(r.Senders)
 		var m runtime.MemStats
 		runtime.GC()
@@ -214,6 +218,9 @@
 
 // bounds are those of the target.
 func (r *Result) bounds() []bound {
-	return []bound{{"bytes a second for control, out", r.Rates.BytesOut, MostBytes}, {"of a core for control", r.Rates.Core, MostCore},
-		{"bytes of memory", r.Rates.Memory, MostMemory}}
+	list := []bound{{"bytes a second for control, out", r.Rates.BytesOut, MostBytes}}
+	if r.Way == "hollow" {
+		list = append(list, bound{"of a core for control", r.Rates.Core, MostCore}, bound{"bytes of memory", r.Rates.Memory, MostMemory})
+	}
+	return list
 }
--- a/internal/standin/hollow/page.go
+++ b/internal/standin/hollow/page.go
@@ -23,9 +23,8 @@
 
 // Row is the calm figures as a row of a table in Markdown.
 func (r *Result) Row() string {
-	core, memory, dropped := "-", "-", "-"
+	core, memory, dropped := fmt.Sprintf("%.2f%%", 100*r.Rates.Core), "-", "-"
 	if r.Way == "hollow" {
-		core = fmt.Sprintf("%.2f%%", 100*r.Rates.Core)
 		memory = fmt.Sprintf("%.2f (%.2f)", r.Rates.Memory/(1<<20), r.Rates.Heap/(1<<20))
 		dropped = fmt.Sprint(r.Kernel.Dropped)
 	}
