Tell what it costs hollow senders to meet, and give memory back between fleets

Fleets at 96 met after 11 to 39 s or not at all on a busy machine while they spent two cores, calm ones 1.4: meeting costs more than being calm, and the result did not say how much. Two fleets in one process counted the second one's memory from what the first had left: one row said -0.46 MB.

Measured: go test ./internal/standin/hollow passes.

--- a/internal/standin/hollow/measure.go
+++ b/internal/standin/hollow/measure.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"runtime"
+	"runtime/debug"
 	"time"
 )
 
@@ -49,7 +50,8 @@
 	Cores    int            `json:"cores"` // that the process could use
 	Commit   string         `json:"commit"`
 	Machine  string         `json:"machine"`
-	Met      float64        `json:"met_s"` // until each counted all
+	Met      float64        `json:"met_s"`     // until each counted all
+	MetCPU   float64        `json:"met_cpu_s"` // processor time until then, each
 	Calm     float64        `json:"calm_s"`
 	Rates    Rates          `json:"rates"`  // each sender's
 	Kernel   Kernel         `json:"kernel"` // over the calm span
@@ -70,8 +72,8 @@
 // Measure starts a fleet, lets it meet, measures it calm, and plays faults.
 func Measure(p Play) (r Result, err error) {
 	began := time.Now()
-	runtime.GC()
-	base := resident()
+	debug.FreeOSMemory() // of a fleet before
+	base, atStart := resident(), spent()
 	r = Result{Way: "hollow", Senders: p.Senders, Lease: p.Lease.Seconds(), Facts: p.Facts, Seed: p.Seed, Cores: runtime.GOMAXPROCS(0), Commit: cmp.Or(p.Commit, commit()),
 		Machine: machine(), Met: -1}
 	var s stage
@@ -103,6 +105,7 @@
 	}
 	if took, ok := w.until(p.Patience, w.whole); ok {
 		r.Met = took.Seconds()
+		r.MetCPU = (spent() - atStart).Seconds() / float64(p.Senders)
 		w.note("whole")
 	}
 	r.calm(w, f, p.Calm, base)
--- a/internal/standin/hollow/page.go
+++ b/internal/standin/hollow/page.go
@@ -8,7 +8,7 @@
 
 // Heads of the tables that [Result.Row] and [Result.FaultRows] fill.
 const (
-	RowHead = "| senders, way | met after | KB/s out, in (facts) | datagrams/s out, in | of a core | MB each (live heap) | calm: lowest sum, s under 0.9 | kernel dropped | verdict |\n" +
+	RowHead = "| senders, way | met after (processor time each) | KB/s out, in (facts) | datagrams/s out, in | of a core | MB each (live heap) | calm: lowest sum, s under 0.9 | kernel dropped | verdict |\n" +
 		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
 	FaultHead = "| senders, way | fault (hit) | lasted | sums at its end: left alone, hit | lowest, highest sum | s under 0.9 (not again after) | whole again after, s under 0.9 | KB sent and taken at the return: each hit, each other | busiest KB/s |\n" +
 		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
@@ -32,7 +32,7 @@
 	if verdict == "" {
 		verdict = "nothing to object to"
 	}
-	return fmt.Sprintf("| %d, %s | %s | %.1f, %.1f (%.1f) | %.0f, %.0f | %s | %s | %.3f, %.1f | %s | %s |", r.Senders, r.Way, seconds(r.Met), r.Rates.BytesOut/1000,
+	return fmt.Sprintf("| %d, %s | %s (%.0f ms) | %.1f, %.1f (%.1f) | %.0f, %.0f | %s | %s | %.3f, %.1f | %s | %s |", r.Senders, r.Way, seconds(r.Met), 1000*r.MetCPU, r.Rates.BytesOut/1000,
 		r.Rates.BytesIn/1000, r.Rates.Lore/1000, r.Rates.Out, r.Rates.In, core, memory, r.Lowest, r.Under, dropped, verdict)
 }
 
