--- a/cmd/measure/hollow.go
+++ b/cmd/measure/hollow.go
@@ -34,11 +34,31 @@
 	dir := fs.String("dir", "", "folder for the senders' folders")
 	out := fs.String("out", "", "folder for each fleet's result as JSON")
 	slopes := fs.String("slopes", "", "folder for the slopes as JSON")
+	from := fs.Bool("from", false, "measure nothing: read the results whose files are given, and write the slopes")
 	name := fs.String("commit", "", "of the program; empty for what its build says")
 	line := fs.Bool("timeline", true, "print each fleet's time line")
 	if err := fs.Parse(args); err != nil {
 		return err
 	}
+	if *from {
+		results, err := hollow.ReadResults(fs.Args())
+		if err != nil {
+			return err
+		}
+		for _, r := range results {
+			fmt.Println(strings.Join(append([]string{r.Row()}, r.FaultRows()...), "\n"))
+		}
+		if *slopes == "" || len(results) == 0 {
+			return nil
+		}
+		return hollow.WriteSlopes(*slopes, results[0].Command, results)
+	}
+	command := "measure hollow"
+	fs.Visit(func(f *flag.Flag) { // but where things lie
+		if !slices.Contains([]string{"dir", "out", "slopes", "commit", "timeline"}, f.Name) {
+			command += fmt.Sprintf(" -%s %s", f.Name, f.Value)
+		}
+	})
 	runtime.GOMAXPROCS(*cores)
 	var faults []hollow.Fault
 	for _, name := range strings.FieldsFunc(*fault, func(r rune) bool { return r == ',' }) {
@@ -60,7 +80,7 @@
 			return err
 		}
 		for i := range *repeats {
-			r, err := hollow.Measure(hollow.Play{Virtual: *virtual, Calm: second(*calm), Lasts: second(*lasts), Patience: *patience, Faults: faults, Commit: *name,
+			r, err := hollow.Measure(hollow.Play{Virtual: *virtual, Calm: second(*calm), Lasts: second(*lasts), Patience: *patience, Faults: faults, Commit: *name, Command: command,
 				Options: hollow.Options{Senders: n, Lease: *lease, Drift: 0.01, Dir: *dir, Facts: *facts, Seed: *seed + uint64(i)}})
 			if *line {
 				r.WriteTimeline(os.Stdout)
@@ -81,7 +101,7 @@
 		}
 	}
 	if *slopes != "" {
-		wrong = errors.Join(wrong, hollow.WriteSlopes(*slopes, "measure hollow "+strings.Join(args, " "), results))
+		wrong = errors.Join(wrong, hollow.WriteSlopes(*slopes, command, results))
 	}
 	return wrong
 }
--- a/internal/standin/hollow/measure.go
+++ b/internal/standin/hollow/measure.go
@@ -24,6 +24,7 @@
 	Patience time.Duration // for each thing that is waited for
 	Faults   []Fault
 	Commit   string // of the program; empty for what its build says
+	Command  string // that measures
 }
 
 // Rates are what each sender spends in the mean, calm.
@@ -49,6 +50,7 @@
 	Seed     uint64         `json:"seed"`
 	Cores    int            `json:"cores"` // that the process could use
 	Commit   string         `json:"commit"`
+	Command  string         `json:"command"`
 	Machine  string         `json:"machine"`
 	Met      float64        `json:"met_s"`     // until each counted all
 	MetCPU   float64        `json:"met_cpu_s"` // processor time until then, each
@@ -74,7 +76,7 @@
 	began := time.Now()
 	debug.FreeOSMemory() // of a fleet before
 	base, atStart := resident(), spent()
-	r = Result{Way: "hollow", Senders: p.Senders, Lease: p.Lease.Seconds(), Facts: p.Facts, Seed: p.Seed, Cores: runtime.GOMAXPROCS(0), Commit: cmp.Or(p.Commit, commit()),
+	r = Result{Way: "hollow", Senders: p.Senders, Lease: p.Lease.Seconds(), Facts: p.Facts, Seed: p.Seed, Cores: runtime.GOMAXPROCS(0), Commit: cmp.Or(p.Commit, commit()), Command: p.Command,
 		Machine: machine(), Met: -1}
 	var s stage
 	var f *fleet
--- a/internal/standin/hollow/slope.go
+++ b/internal/standin/hollow/slope.go
@@ -1,10 +1,12 @@
 package hollow
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 )
 
 // slope is one figure over sizes, as docs/measurements/capacity has it.
@@ -32,6 +34,23 @@
 
 const targetSenders = 560
 
+// ReadResults reads the results of files, in order of size.
+func ReadResults(names []string) (list []Result, err error) {
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		var r Result
+		if err := json.Unmarshal(text, &r); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		list = append(list, r)
+	}
+	slices.SortStableFunc(list, func(a, b Result) int { return cmp.Compare(a.Senders, b.Senders) })
+	return list, nil
+}
+
 // WriteSlopes writes what grows with the senders as a file each into a folder; results
 // are in order of size, and equal sizes are repeats. Fewer than four sizes are no
 // slope, and sizes must be twofold apart.
@@ -44,7 +63,7 @@
 		s := slope{Name: first.Way + "-" + name, Measures: measures, Way: first.Way, Command: command, Commit: first.Commit, Machine: first.Machine,
 			SizeOf: "senders", Unit: unit, Target: targetSenders, Bound: bound, From: "the operators' size of two years: 560 senders"}
 		if first.Way == "hollow" {
-			s.Note = fmt.Sprintf("%d of the cores", first.Cores)
+			s.Note = fmt.Sprintf("the process could use %d cores; its looks at the parts are in it, some 0.01 of a core over all", first.Cores)
 		}
 		for _, r := range results {
 			if n := len(s.Points); n == 0 || s.Points[n-1].Size != float64(r.Senders) {
