--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -4,14 +4,20 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 )
 
 func main() {
-	tools := map[string]func(args []string) error{"fronts": fronts, "platform": platform, "journal": journalWaits, "kill": kills, "held": held, "disk": disk, "fleet": fleetLogs,
-		"silent": silent, "console": consoles, "upgrade": upgrades, "doors": doors, "cluster": clusters, "knowledge": knowledge, "untried": untriedTable, "ready": readyTimes}
+	tools := map[string]func(args []string) error{
+		"cluster": clusters, "console": consoles, "disk": disk, "doors": doors, "fleet": fleetLogs,
+		"fronts": fronts, "held": held, "hollow": hollows, "journal": journalWaits, "kill": kills, "knowledge": knowledge,
+		"platform": platform, "ready": readyTimes, "silent": silent, "untried": untriedTable, "upgrade": upgrades,
+	}
 	if len(os.Args) < 2 || tools[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: measure fronts|platform|journal|kill|held|disk|fleet|silent|console|upgrade|doors|cluster|knowledge|untried|ready [flags]")
+		fmt.Fprintf(os.Stderr, "usage: measure %s [flags]\n", strings.Join(slices.Sorted(maps.Keys(tools)), "|"))
 		os.Exit(2)
 	}
 	if err := tools[os.Args[1]](os.Args[2:]); err != nil {
