--- /dev/null
+++ b/internal/lab/capacity/table.go
@@ -0,0 +1,160 @@
+package capacity
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Tables are the tables of docs/CAPACITY.md by the name of their marker.
+func Tables(list []Slope) map[string]string {
+	return map[string]string{"shares": shares(list), "slopes": slopes(list)}
+}
+
+// Fill puts tables between their markers in a page: what stands between the lines
+// "<!-- capacity:NAME -->" and "<!-- /capacity:NAME -->" is replaced.
+func Fill(page string, tables map[string]string) (string, error) {
+	for name, table := range tables {
+		open, end := "<!-- capacity:"+name+" -->\n", "<!-- /capacity:"+name+" -->"
+		before, rest, ok := strings.Cut(page, open)
+		_, after, ended := strings.Cut(rest, end)
+		if !ok || !ended || strings.Contains(after, open) {
+			return "", fmt.Errorf("the page does not have the marker %q once, with its end", strings.TrimSpace(open))
+		}
+		page = before + open + table + end + after
+	}
+	return page, nil
+}
+
+// shares is the table sorted by the share of the target at which a bound is met,
+// with the slopes that have none at its end.
+func shares(list []Slope) string {
+	key := func(s Slope) float64 {
+		share, _ := s.Share()
+		if s.Bound == 0 || math.IsNaN(share) {
+			return math.Inf(1)
+		}
+		return share
+	}
+	list = slices.SortedStableFunc(slices.Values(list), func(a, b Slope) int {
+		return cmp.Or(cmp.Compare(key(a), key(b)), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Commit, b.Commit))
+	})
+	var b strings.Builder
+	b.WriteString("| share of the target | slope, commit | the bound is met at | target | value at target | bound |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range list {
+		at, by := s.At(s.Target)
+		if s.Target <= s.Points[len(s.Points)-1].Size {
+			at, by = s.within(s.Target), ByMeasure
+		}
+		value := number(at) + " " + s.Unit + " (" + by + ")"
+		if math.IsNaN(at) {
+			value = "not said"
+		}
+		share, met, bound := "-", "-", "none"
+		if s.Bound > 0 {
+			size, how := s.Met()
+			bound = number(s.Bound) + " " + s.Unit
+			switch {
+			case math.IsNaN(size):
+				share, met = "not said", "not said"
+			case math.IsInf(size, 1):
+				share, met = "not met", "it does not grow ("+how+")"
+			default:
+				share, met = percent(size/s.Target), number(size)+" ("+how+")"
+			}
+		}
+		fmt.Fprintf(&b, "| %s | `%s` %s | %s | %s %s | %s | %s |\n", share, s.Name, s.Commit, met, number(s.Target), s.SizeOf, value, bound)
+	}
+	return b.String()
+}
+
+// within is the value at a size among those measured, by the power between its
+// neighbours.
+func (s Slope) within(size float64) float64 {
+	for i, p := range s.Points {
+		if p.Size < size {
+			continue
+		}
+		if i == 0 || p.Size == size {
+			return p.Median()
+		}
+		before := s.Points[i-1]
+		part := math.Log(size/before.Size) / math.Log(p.Size/before.Size)
+		return before.Median() + part*(p.Median()-before.Median())
+	}
+	return math.NaN()
+}
+
+// slopes is the table of what was measured and of its fit, by name.
+func slopes(list []Slope) string {
+	list = slices.SortedStableFunc(slices.Values(list), func(a, b Slope) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Commit, b.Commit))
+	})
+	var b strings.Builder
+	b.WriteString("| slope, commit | measures, by size | way | sizes | medians | grows as | left out: said, measured, error |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range list {
+		f := s.Fit()
+		var sizes, medians []string
+		for _, p := range s.Points {
+			sizes, medians = append(sizes, number(p.Size)), append(medians, number(p.Median()))
+		}
+		power := fmt.Sprintf("size^%.2f ± %.2f", f.Power, f.Spread)
+		if !f.IsPower {
+			var steps []string
+			for _, x := range f.Steps {
+				if math.IsNaN(x) {
+					steps = append(steps, "?")
+				} else {
+					steps = append(steps, fmt.Sprintf("%.2f", x))
+				}
+			}
+			power = "no power; by steps " + strings.Join(steps, ", ")
+		}
+		if s.Base != 0 {
+			power += ", above " + number(s.Base)
+		}
+		left := "-"
+		if !math.IsNaN(f.Predicted) {
+			left = fmt.Sprintf("%s, %s, %+.0f%%", number(f.Predicted), number(f.Measured), 100*f.Error)
+		}
+		repeats := len(s.Points[0].Values)
+		fmt.Fprintf(&b, "| `%s` %s | %s, by %s | %s, %d each | %s | %s %s | %s | %s |\n", s.Name, s.Commit, s.Measures, s.SizeOf, s.Way, repeats,
+			strings.Join(sizes, ", "), strings.Join(medians, ", "), s.Unit, power, left)
+	}
+	return b.String()
+}
+
+// number is a figure with three digits that count, and commas.
+func number(v float64) string {
+	switch a := math.Abs(v); {
+	case v == 0:
+		return "0"
+	case a >= 1e12:
+		return fmt.Sprintf("%.2e", v)
+	case a >= 100:
+		digits := strconv.FormatFloat(math.Round(a), 'f', 0, 64)
+		for i := len(digits) - 3; i > 0; i -= 3 {
+			digits = digits[:i] + "," + digits[i:]
+		}
+		if v < 0 {
+			return "-" + digits
+		}
+		return digits
+	}
+	return strconv.FormatFloat(v, 'g', 3, 64)
+}
+
+// percent is a share; from ten times the target on it is said as a factor.
+func percent(share float64) string {
+	switch p := 100 * share; {
+	case share >= 10:
+		return number(share) + " times"
+	case p >= 10:
+		return fmt.Sprintf("%.0f%%", p)
+	default:
+		return strconv.FormatFloat(p, 'g', 2, 64) + "%"
+	}
+}
