--- /dev/null
+++ b/internal/lab/capacity/senders.go
@@ -0,0 +1,90 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"cometrack/internal/standin/fleet"
+)
+
+const sendersFrom = "560 senders, each of which knows all others"
+
+// heads are the bytes of the heads of IPv4 and UDP of a datagram.
+const heads = 28
+
+// senders has real processes that know of each other and do nothing else.
+func senders() Bench {
+	q := func(name, measures, unit string, bound float64, why string) Quantity {
+		return Quantity{Slope: Slope{Name: "senders-" + name, Measures: measures, Unit: unit, Target: fleetSenders, Bound: bound, From: sendersFrom + "; " + why}}
+	}
+	return Bench{Name: "senders", Way: Processes, SizeOf: "senders that know of each other, calm", Sizes: []int{3, 6, 12, 24},
+		Quantities: []Quantity{
+			q("bytes", "sent by each in datagrams with their heads", "bytes a second", controlBytes, "14 KB a second for control"),
+			q("datagrams", "datagrams sent by each", "a second", 0, "no bound is given"),
+			q("cpu", "processor time of each with its guard", "% of a core", controlCore, "1.6% of a core for control"),
+			q("memory", "memory of each with its guard that is not of files", "MB", controlMB, "128 MB for control"),
+		}, Run: runSenders}
+}
+
+func runSenders(r *Rig, size int) ([]float64, error) {
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	lease := "3s"
+	if r.Least {
+		lease = "500ms"
+	}
+	bin, err := filepath.Abs(r.Bin)
+	if err != nil {
+		return nil, err
+	}
+	f, err := fleet.Start(fleet.Options{Program: bin, Dir: dir, Senders: size, Cluster: fmt.Sprintf("lease = %q", lease),
+		Config: "[[partner]]\nname = \"acme\"\nendpoints = [\"127.0.0.1:9\"]\nrate = 100\n"})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if took, ok := f.Until(90*time.Second, fleet.AllHere); !ok {
+		return nil, fmt.Errorf("%d senders did not meet within %v", size, took)
+	}
+	time.Sleep(r.Span) // the last answers of joining
+	var pids []int
+	for _, s := range f.Senders() {
+		pids = append(pids, s.PID())
+		pids = append(pids, children(s.PID())...)
+	}
+	total := func() (cpu time.Duration, mb float64) {
+		for _, pid := range pids {
+			cpu += cpuOf(pid)
+			mb += statusOf(pid, "RssAnon:")
+		}
+		return cpu, mb
+	}
+	cpu, _ := total()
+	sent, bytes, from := f.Carried(), f.CarriedBytes(), time.Now()
+	time.Sleep(4 * r.Span)
+	after, mb := total()
+	span, n := time.Since(from).Seconds(), float64(size)
+	datagrams := float64(f.Carried() - sent)
+	return []float64{(float64(f.CarriedBytes()-bytes) + heads*datagrams) / span / n, datagrams / span / n, 100 * (after - cpu).Seconds() / span / n, mb / n}, nil
+}
+
+// children are the processes that one has started.
+func children(pid int) (out []int) {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", pid))
+	for _, t := range tasks {
+		text, _ := os.ReadFile(t)
+		for _, child := range strings.Fields(string(text)) {
+			if id, err := strconv.Atoi(child); err == nil {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -98,3 +98,7 @@
 	}
 	return n
 }
+
+// CarriedBytes is how many bytes the datagrams had that have come through all links,
+// without the heads of UDP and IP.
+func (f *Fleet) CarriedBytes() int64 { return f.net.bytes.Load() }
