Let the steeper of fit and last step say what lies beyond, and connect anew

The bench of destinations that are out failed at size 0: its client had rested for 4 s, after which the front closes. The bench of many destinations met the bound of its own file on connections that rest (2,128 at 16,384 descriptors) and its second half called the first half's destinations again.

Change: beyond the sizes measured the steeper of both powers counts; benches connect anew after a rest; destinations are called in turn over a whole bench, for 10 s before what is counted, with room for 65,536 descriptors, up to 8,000 of them.

--- a/internal/lab/capacity/carried.go
+++ b/internal/lab/capacity/carried.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"time"
-
-	"cometrack/internal/standin/traffic"
 )
 
 // rate has messages come at a pace, for partners that are well.
@@ -20,15 +18,18 @@
 		}}
 }
 
+// idleTime is how long a connection rests where a file says nothing.
+const idleTime = 10 * time.Second
+
 // spread has messages come at the target's pace, for ever more partners.
 func spread() Bench {
 	const from = "42,000 destinations, 680 a second"
-	return Bench{Name: "spread", Way: Processes, SizeOf: "destinations that are well, 680 messages a second in turn", Sizes: []int{250, 500, 1000, 2000, 4000},
+	return Bench{Name: "spread", Way: Processes, SizeOf: "destinations that are well, 680 messages a second in turn", Sizes: []int{500, 1000, 2000, 4000, 8000},
 		Quantities: []Quantity{
 			{Slope: Slope{Name: "spread-cpu", Measures: "processor time", Unit: "% of a core", Target: destinations, Bound: 100, From: from + "; one core"}},
 			{Slope: Slope{Name: "spread-p99", Measures: "99th percentile from a client's write to the call", Unit: "ms", Target: destinations, From: from + "; no bound is given"}},
-			{Slope: Slope{Name: "spread-descriptors", Measures: "descriptors after three spans", Unit: "open", Target: destinations, Bound: 1 << 22,
-				From: from + "; bound: the most that limits.descriptors takes", Note: "connections rest for 10 s: after three spans not all have been opened that will be"}},
+			{Slope: Slope{Name: "spread-descriptors", Measures: "descriptors open after 10 s or more", Unit: "open", Target: destinations, Bound: 1 << 22,
+				From: from + "; bound: the most that limits.descriptors takes", Note: "each destination gets a message after size / 680 s; its connection rests for 10 s"}},
 		}, Run: func(r *Rig, size int) ([]float64, error) { return runSpread(r, size, senderEvents) }}
 }
 
@@ -46,12 +47,16 @@
 		return none, err
 	}
 	defer d.close()
-	c, err := traffic.DialRESP(d.Addrs[0])
+	c, err := d.dial()
 	if err != nil {
 		return none, err
 	}
 	defer c.Close()
-	if _, err := p.served(c, "a", rate, r.Span); err != nil { // connections are made
+	warm := r.Span
+	if !r.Least && destinations > 100 {
+		warm = idleTime // as many connections rest as ever will
+	}
+	if _, err := p.served(c, "a", rate, warm); err != nil { // connections are made
 		return none, err
 	}
 	cpu, from := d.cpu(), time.Now()
@@ -83,7 +88,7 @@
 				return nil, err
 			}
 			defer d.close()
-			c, err := traffic.DialRESP(d.Addrs[0])
+			c, err := d.dial()
 			if err != nil {
 				return nil, err
 			}
--- a/internal/lab/capacity/fit.go
+++ b/internal/lab/capacity/fit.go
@@ -100,21 +100,25 @@
 const (
 	ByMeasure = "measured"  // it lies among the sizes that were measured
 	ByFit     = "fit"       // by the fit of all
-	ByStep    = "last step" // by the power between the last two sizes, as all are no power
+	ByStep    = "last step" // by the power between the last two sizes, as all are no power or as it is the steeper
 )
 
 // rise is the growth by which sizes above those measured are said: the line through
-// the last size, with the fit's power or, where that is none, with the last step's;
-// flat where the last size is not above the base.
+// the last size, with the fit's power or the last step's, whichever is steeper, and
+// the last step's where all are no power. The steeper one, as small sizes bend a line
+// down that has a second base they all share (the first pages of a heap), and what is
+// said a hundred sizes further should err to the side of the bound. Flat where the
+// last size is not above the base.
 func (s Slope) rise() (power float64, how string) {
 	if s.Points[len(s.Points)-1].Median() <= s.Base {
 		return 0, ByStep
 	}
 	f := s.Fit()
-	if f.IsPower {
+	step := f.Steps[len(f.Steps)-1]
+	if f.IsPower && f.Power >= step-1e-9 {
 		return f.Power, ByFit
 	}
-	return f.Steps[len(f.Steps)-1], ByStep
+	return step, ByStep
 }
 
 // At is the value at a size above those measured: from the last size on, by the power
--- a/internal/lab/capacity/fit_test.go
+++ b/internal/lab/capacity/fit_test.go
@@ -88,6 +88,21 @@
 	}
 }
 
+// Of a fit and a last step that is steeper the latter says what lies beyond.
+func TestSteeperIsTaken(t *testing.T) {
+	s := drawn(0, func(x float64) float64 { return 2 + 0.002*x }) // as if the base had not been measured
+	f := s.Fit()
+	step := f.Steps[len(f.Steps)-1]
+	if !f.IsPower || step <= f.Power {
+		t.Fatalf("power %v (%v), last step %v", f.Power, f.IsPower, step)
+	}
+	at, how := s.At(1e6)
+	near(t, "value over the step's", at/(34*math.Pow(1e6/16000, step)), 1, 1e-9)
+	if how != ByStep {
+		t.Errorf("by %s", how)
+	}
+}
+
 // What lies between two measured sizes is said by these and not by the fit.
 func TestBoundAmongSizes(t *testing.T) {
 	s := drawn(0, func(x float64) float64 { return x * x / 1e6 })
--- a/internal/lab/capacity/held.go
+++ b/internal/lab/capacity/held.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"time"
-
-	"cometrack/internal/standin/traffic"
 )
 
 const (
@@ -44,7 +42,7 @@
 		return nil, err
 	}
 	defer d.close()
-	c, err := traffic.DialRESP(d.Addrs[0])
+	c, err := d.dial()
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +60,10 @@
 	d.quiet()
 	memory, disk := d.memory(), d.disk()
 	idle := d.busy(r.Span / 2)
+	if c, err = d.dial(); err != nil {
+		return nil, err
+	}
+	defer c.Close()
 	const more = 200
 	cpu, from := d.cpu(), time.Now()
 	if taken, err = put(c, "n", more, 1, toOut); err != nil || taken != more {
@@ -102,7 +104,7 @@
 				return nil, err
 			}
 			defer d.close()
-			c, err := traffic.DialRESP(d.Addrs[0])
+			c, err := d.dial()
 			if err != nil {
 				return nil, err
 			}
@@ -116,6 +118,10 @@
 			}
 			d.busy(r.Span) // until all are known to be out
 			idle := d.busy(r.Span)
+			if c, err = d.dial(); err != nil {
+				return nil, err
+			}
+			defer c.Close()
 			took, err := p.served(c, "w", 200, r.Span)
 			if err != nil {
 				return nil, err
--- a/internal/lab/capacity/partners.go
+++ b/internal/lab/capacity/partners.go
@@ -6,8 +6,6 @@
 	"strings"
 	"syscall"
 	"time"
-
-	"cometrack/internal/standin/traffic"
 )
 
 // partners has a file with many partners, all but one of them idle.
@@ -56,7 +54,7 @@
 		return nil, fmt.Errorf("check: %w: %s", err, text)
 	}
 	check := time.Since(from)
-	c, err := traffic.DialRESP(d.Addrs[0])
+	c, err := d.dial()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/capacity/process.go
+++ b/internal/lab/capacity/process.go
@@ -69,6 +69,10 @@
 	os.RemoveAll(d.dir)
 }
 
+// dial connects to the RESP2 front, which closes what has rested for 4 s: whoever has
+// waited connects anew.
+func (d *daemon) dial() (*traffic.RESP, error) { return traffic.DialRESP(d.Addrs[0]) }
+
 func (d *daemon) cpu() time.Duration { return cpuOf(d.Cmd.Process.Pid) }
 
 // cpuOf is the processor time that a process has used, by its clock, in nanoseconds;
@@ -167,7 +171,7 @@
 
 // header is what all files have: room, no syncs, a front, a class with time.
 func header(held int) string {
-	return fmt.Sprintf("[limits]\nopen_messages = %d\ndisk_mb = 20000\nmemory_mb = 8000\ndescriptors = 16384\n[store]\nsync = \"never\"\n"+
+	return fmt.Sprintf("[limits]\nopen_messages = %d\ndisk_mb = 20000\nmemory_mb = 8000\ndescriptors = 65536\n[store]\nsync = \"never\"\n"+
 		"[front.resp]\nlisten = \"127.0.0.1:0\"\n[[class]]\nname = \"safe\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"2h\"\n", held)
 }
 
--- a/internal/lab/capacity/served.go
+++ b/internal/lab/capacity/served.go
@@ -19,6 +19,7 @@
 type crowd struct {
 	Addrs  []string
 	server *http.Server
+	next   int // the destination whose turn it is
 
 	mu   sync.Mutex
 	came map[string]time.Time // the last byte of the first call of each message, by its id
@@ -100,9 +101,10 @@
 	for i := range n {
 		time.Sleep(time.Until(from.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
 		at[i] = time.Now()
-		if err := client.Put("0", fmt.Sprint(prefix, i), options(fmt.Sprint("well", i%len(c.Addrs))), body); err != nil {
+		if err := client.Put("0", fmt.Sprint(prefix, i), options(fmt.Sprint("well", c.next%len(c.Addrs))), body); err != nil {
 			return nil, err
 		}
+		c.next++
 	}
 	if err := <-answers; err != nil {
 		return nil, err
--- a/internal/lab/capacity/table.go
+++ b/internal/lab/capacity/table.go
@@ -64,6 +64,9 @@
 				share, met = "not met", "it does not grow ("+how+")"
 			default:
 				share, met = percent(size/s.Target), number(size)+" ("+how+")"
+				if size/s.Target >= 1000 {
+					met = "far beyond (" + how + ")"
+				}
 			}
 		}
 		fmt.Fprintf(&b, "| %s | `%s` %s | %s | %s %s | %s | %s |\n", share, s.Name, s.Commit, met, number(s.Target), s.SizeOf, value, bound)
@@ -151,6 +154,8 @@
 // percent is a share; from ten times the target on it is said as a factor.
 func percent(share float64) string {
 	switch p := 100 * share; {
+	case share >= 1000:
+		return "over 1,000 times"
 	case share >= 10:
 		return number(share) + " times"
 	case p >= 10:
