--- a/internal/lab/capacity/carried.go
+++ b/internal/lab/capacity/carried.go
@@ -102,7 +102,7 @@
 				return nil, fmt.Errorf("%d of %d came", p.count(), size)
 			}
 			used := (d.cpu() - cpu).Seconds() * 1000 / float64(max(size, 1))
-			d.quiet()
+			d.quiet(r.Span / 10)
 			return []float64{d.memory(), used}, nil
 		}}
 }
--- a/internal/lab/capacity/held.go
+++ b/internal/lab/capacity/held.go
@@ -28,16 +28,43 @@
 			above(q("p50", "median from a client's write to the call at a healthy partner, 200 a second", "ms", 0, "bound: 1.5 times an empty sender, issue 43"), 1.5),
 			above(q("p99", "99th percentile of the same", "ms", 0, "bound: 1.5 times an empty sender, issue 43"), 1.5),
 			above(q("restart", "SIGKILL, then start to ready", "s", 10, "ready within 10 s, issue 43"), 0),
-		}, Run: runHeld}
+		}, Run: func(r *Rig, size int) ([]float64, error) { return runHeld(r, size, 1) }}
 }
 
-func runHeld(r *Rig, size int) ([]float64, error) {
+// backlog has messages held for as many destinations as are down at the target.
+func backlog() Bench {
+	const from = backlogFrom + ", 670 destinations down; "
+	q := func(name, measures, unit string, bound float64, why string) Quantity {
+		return Quantity{Slope: Slope{Name: "backlog-" + name, Measures: measures, Unit: unit, Target: senderBacklog, Bound: bound, From: from + why}}
+	}
+	idle := q("idle", "processor time with nothing coming", "% of a core", 100, "one core")
+	p99 := q("p99", "99th percentile from a client's write to the call at a healthy partner, 200 a second", "ms", 0, "bound: 1.5 times an empty sender, issue 43")
+	idle.Above, p99.Above, p99.Times = true, true, 1.5
+	return Bench{Name: "backlog", Way: Processes, SizeOf: "messages held, for 640 destinations that are out in turn", Sizes: []int{1250, 2500, 5000, 10_000, 20_000},
+		Quantities: []Quantity{
+			q("intake", "processor time for each while all are taken on", "ms", eachMessage, coreFrom),
+			idle, p99,
+		}, Run: func(r *Rig, size int) ([]float64, error) {
+			v, err := runHeld(r, size, 640)
+			if err != nil {
+				return nil, err
+			}
+			return []float64{v[0], v[2], v[6]}, nil
+		}}
+}
+
+// runHeld holds so many messages for some destinations that are out, in turn.
+func runHeld(r *Rig, size, destinations int) ([]float64, error) {
 	p, err := newCrowd(1)
 	if err != nil {
 		return nil, err
 	}
 	defer p.Close()
-	d, err := start(r.Bin, header(size+20_000)+partnerText("out", outAddr(0))+p.text())
+	text := header(size+20_000) + p.text()
+	for i := range destinations {
+		text += partnerText(fmt.Sprint("out", i), outAddr(i))
+	}
+	d, err := start(r.Bin, text)
 	if err != nil {
 		return nil, err
 	}
@@ -50,14 +77,14 @@
 	if _, err := p.served(c, "a", 200, r.Span/2); err != nil { // connections are made, its pace is known
 		return nil, err
 	}
-	toOut := func(int) string { return "out" }
+	toOut := func(i int) string { return fmt.Sprint("out", i%destinations) }
 	cpu := d.cpu()
 	taken, err := put(c, "m", size, 16, toOut)
 	if err != nil || taken != size {
 		return nil, fmt.Errorf("%d of %d taken on: %w", taken, size, err)
 	}
 	intake := (d.cpu() - cpu).Seconds() * 1000 / float64(max(size, 1))
-	d.quiet()
+	d.quiet(r.Span / 10)
 	memory, disk := d.memory(), d.disk()
 	idle := d.busy(r.Span / 2)
 	if c, err = d.dial(); err != nil {
--- a/internal/lab/capacity/partners.go
+++ b/internal/lab/capacity/partners.go
@@ -46,7 +46,7 @@
 	}
 	defer d.close()
 	started := d.took
-	d.quiet()
+	d.quiet(r.Span / 10)
 	memory := d.memory()
 	idle := d.busy(r.Span)
 	from := time.Now()
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	reload := time.Since(from)
-	d.quiet()
+	d.quiet(r.Span / 10)
 	reloadCPU := (d.cpu() - cpu).Seconds() - idle/100*time.Since(from).Seconds()
 	return []float64{memory, d.memory(), started.Seconds(), check.Seconds(), reload.Seconds(), reloadCPU, idle, next}, nil
 }
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -39,7 +39,7 @@
 
 // Benches are all of them, in order of what the issue asks.
 func Benches() []Bench {
-	return []Bench{held(), out(), rate(), spread(), ends(), partners(), senders(), viewPlay(), factsBySenders(), factsByNumber(), factsMemory(), factsCatchUp()}
+	return []Bench{held(), backlog(), out(), rate(), spread(), ends(), partners(), senders(), viewPlay(), factsBySenders(), factsByNumber(), factsMemory(), factsCatchUp()}
 }
 
 // measure runs a bench over its sizes, all of them once in each turn.
