--- a/internal/lab/capacity/fit.go
+++ b/internal/lab/capacity/fit.go
@@ -6,7 +6,8 @@
 
 // Criterion of a power: no size, the one left out included, lies further from the
 // line than Apart times, or than twice the usual distance of a repeat from its median
-// (the widest of each size, the median of these), whichever is more. A step (a cliff, a cache that is full) bends the line and
+// (the widest of each size, the median of these), whichever is more, and none lies off
+// twofold, however wide the repeats spread. A step (a cliff, a cache that is full) bends the line and
 // fails it.
 const Apart = 1.3
 
@@ -67,7 +68,7 @@
 	f.Predicted = s.Base + f.Factor*math.Pow(f.LeftOut, f.Power)
 	f.Error = f.Predicted/f.Measured - 1
 	f.Worst = math.Exp(off)
-	f.IsPower = off <= max(math.Log(Apart), 2*median(noise))
+	f.IsPower = off <= min(max(math.Log(Apart), 2*median(noise)), math.Ln2)
 	return f
 }
 
--- a/internal/lab/capacity/fit_test.go
+++ b/internal/lab/capacity/fit_test.go
@@ -88,6 +88,19 @@
 	}
 }
 
+// However wide the repeats spread, a size that lies off twofold bends the line.
+func TestNoiseHidesNoCliff(t *testing.T) {
+	s := drawn(0.7, func(x float64) float64 {
+		if x > 12000 {
+			return 2.5e-5 * x
+		}
+		return 1e-5 * x
+	})
+	if f := s.Fit(); f.IsPower {
+		t.Errorf("a step of 2.5 times counts as a power, worst %v", f.Worst)
+	}
+}
+
 // Of a fit and a last step that is steeper the latter says what lies beyond.
 func TestSteeperIsTaken(t *testing.T) {
 	s := drawn(0, func(x float64) float64 { return 2 + 0.002*x }) // as if the base had not been measured
--- a/internal/lab/capacity/held.go
+++ b/internal/lab/capacity/held.go
@@ -86,7 +86,11 @@
 	intake := (d.cpu() - cpu).Seconds() * 1000 / float64(max(size, 1))
 	d.quiet(r.Span / 10)
 	memory, disk := d.memory(), d.disk()
-	idle := d.busy(r.Span / 2)
+	rest := r.Span / 2
+	if destinations > 1 {
+		rest = 3 * r.Span // trials of one destination come up to 4 s apart, and those of many in bursts
+	}
+	idle := d.busy(rest)
 	if c, err = d.dial(); err != nil {
 		return nil, err
 	}
