--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,11 +8,13 @@
 	"os"
 	"slices"
 	"strings"
+
+	"cometrack/internal/lab/capacity"
 )
 
 func main() {
 	tools := map[string]func(args []string) error{
-		"cluster": clusters, "console": consoles, "disk": disk, "doors": doors, "fleet": fleetLogs,
+		"capacity": capacity.Command, "cluster": clusters, "console": consoles, "disk": disk, "doors": doors, "fleet": fleetLogs,
 		"fronts": fronts, "held": held, "hollow": hollows, "journal": journalWaits, "kill": kills, "knowledge": knowledge,
 		"platform": platform, "ready": readyTimes, "silent": silent, "untried": untriedTable, "upgrade": upgrades,
 	}
