Leave the outage of an endpoint that goes off the list to those not tried since

A restart had remembered nothing of endpoint 65, 64 had failed three times in the outage, then 64 went off the list: unlist drops it from its destination, and budget asks only those that are on it. 65, not tried in the outage, got four calls at once and seven more, with no budget at all.

Change: an endpoint that is out and goes off the list leaves what is known of the outage to those of its lane that have not answered since, as one that joins takes it from those there (inherit).

TestOutageOutlivesItsEndpoint fails without it (8 sends at once, 1 wanted); where the sibling has answered since, it sends as before.

--- a/logic/drain_test.go
+++ b/logic/drain_test.go
@@ -32,3 +32,40 @@
 		}
 	}
 }
+
+// Found by random plays: all that was known of an outage went with the endpoint that had failed. Its sibling, not tried
+// meanwhile, got all that was held at once.
+func TestOutageOutlivesItsEndpoint(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		tried bool // the sibling has answered since
+		sends int
+	}{{"not tried since", false, 1}, {"answers", true, 8}} {
+		set := base()
+		set.Slots, set.MaxTries = 16, 1
+		r := newRig(t, set)
+		r.step(90, list(2))
+		for i := range 8 { // what the lane takes
+			at := 91 + float64(i)/10
+			c := only[CallOut](r.step(at, r.call(0)))[0]
+			r.step(at+0.05, answer(c.ID, c.Endpoint, 0, Completed))
+		}
+		c := r.call(0)
+		bad := only[CallOut](r.step(99, c))[0].Endpoint
+		r.step(99.1, answer(c.ID, bad, 0, RefusedConn))
+		if x.tried {
+			c = r.call(0)
+			r.step(99.3, c)
+			r.step(99.4, answer(c.ID, 3-bad, 0, Completed))
+		}
+		gone := Entry{Endpoint: bad, Dest: 9, State: Gone}
+		r.step(99.5, Endpoints{Form: ListDelta, Entries: []Entry{gone}})
+		var evs []Event
+		for range 12 {
+			evs = append(evs, r.call(0))
+		}
+		if n := len(only[CallOut](r.step(102, evs...))); n != x.sends {
+			t.Errorf("%s: %d sends, want %d", x.name, n, x.sends)
+		}
+	}
+}
--- a/logic/gate.go
+++ b/logic/gate.go
@@ -20,8 +20,7 @@
 		return false, never
 	case m.deadline-s.now <= max(s.usual(m), 2*s.set.Tick): // median gate
 		return false, never
-	}
-	if s.closeAt != 0 && s.now+s.lasts(m, e) > s.closeAt { // it stays in the journal for the next start
+	case s.closeAt != 0 && s.now+s.lasts(m, e) > s.closeAt: // it stays in the journal for the next start
 		return false, never
 	}
 	if l := m.line; l != nil { // order of its key
--- a/logic/outcomes.go
+++ b/logic/outcomes.go
@@ -195,9 +195,6 @@
 			h.add(s.now, r.Took, false)
 		}
 		e.slow += badAlpha * (float64(r.Took) - e.slow)
-		if e.slow == 0 {
-			e.slow = float64(r.Took)
-		}
 		s.succeeded(e, a.at)
 		s.creep(e.lane)
 	case Full:
@@ -287,8 +284,7 @@
 }
 
 // full notes a refusal; refusals in a row over longer than a limit's window, or a long told wait, mean shut.
-// While the last report says that the limit is used up, only the latter does.
-// Among many senders too: two in a row are common there, and a cold budget costs more than single calls.
+// While the last report says that the limit is used up, only the latter does: a cold budget costs more.
 func (s *Sender) full(e *endpoint, wait Micros) {
 	s.refused(e.lane)
 	for _, x := range e.dest.eps { // routes apart take their parts of the same traffic
@@ -329,6 +325,15 @@
 	}
 }
 
+// leave has those that were not tried since an endpoint failed keep its outage when it goes off the list.
+func (s *Sender) leave(e *endpoint) {
+	for _, x := range e.dest.eps {
+		if e.suspect && !x.cold && x.good < e.lastBad {
+			s.inherit(x)
+		}
+	}
+}
+
 func (s *Sender) suspect(e *endpoint, how string) {
 	if !e.suspect {
 		s.log("endpoint %d out: %s", e.id, how)
--- a/logic/state.go
+++ b/logic/state.go
@@ -215,6 +215,7 @@
 func (s *Sender) unlist(e *endpoint) {
 	if e.state != Gone {
 		s.gone = append(s.gone, e)
+		s.leave(e)
 	}
 	e.state, e.goneAt = Gone, s.now
 	e.dest.eps = slices.DeleteFunc(e.dest.eps, func(x *endpoint) bool { return x == e })
