--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -249,8 +249,6 @@
 		at := time.Now()
 		by := s.opened.Add(firstRetired)
 		switch {
-		case s.shut && !c.hurried: // it ends, and has its time
-			continue
 		case s.shut:
 			at = at.Add(lastRequest)
 		case s.open > 0 && !c.hurried: // it may have come in part, and has its time
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -20,7 +20,7 @@
 	requestTime  = 2 * time.Second         // for a later one, once it has begun
 	idleClient   = 4 * time.Second         // between requests
 	answerTime   = 2 * time.Second
-	lastRequest  = 200 * time.Millisecond // while retiring, for a request that has begun to come
+	lastRequest  = 200 * time.Millisecond // while retiring, for a request that has begun to come, or for lingerClient
 	firstRetired = time.Second            // and for the first one on a new connection
 	maxErrors    = 16                     // errors in a row after which a connection is closed
 	errorPause   = 5 * time.Millisecond   // before the next request is read, for each error in a row
@@ -345,7 +345,7 @@
 	s.leave()
 	s.shut = true
 	by := time.Now().Add(lingerClient)
-	if s.c.hurried {
+	if s.c.retiring {
 		by = time.Now().Add(lastRequest)
 	}
 	s.conn.SetReadDeadline(by)
