--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -54,7 +54,7 @@
 	segments []*segment     // by number; only the last one is not closed
 	wanting  []*destination // may have room for a read, in turn
 	out      int            // messages that reads have out
-	near     []Entry        // a heap by deadline: messages whose time is over soon
+	near     []Item         // a heap by deadline: messages whose time is over soon
 	soonest  int64          // no deadline that has not been asked for comes before
 	behind   int
 }
@@ -436,9 +436,13 @@
 	b.soonest = min(b.soonest, s.due)
 }
 
+// Finished is a segment of which nothing is behind the window any more: its first
+// number, and how many it has.
+type Finished struct{ First, N uint64 }
+
 // Finished lists the closed segments of which nothing is behind the window any more,
 // and that no read is out for: their files may go. They are forgotten.
-func (b *Backlog) Finished() (firsts []uint64) {
+func (b *Backlog) Finished() (list []Finished) {
 	b.segments = slices.DeleteFunc(b.segments, func(s *segment) bool {
 		if s.left > 0 || !s.closed || s.reading || s.out > 0 || !s.sealed {
 			return false
@@ -446,8 +450,8 @@
 		for _, l := range b.lanes {
 			l.runs = slices.DeleteFunc(l.runs, func(r run) bool { return r.seg == s })
 		}
-		firsts = append(firsts, s.first)
+		list = append(list, Finished{s.first, uint64(s.n)})
 		return true
 	})
-	return firsts
+	return list
 }
--- a/internal/backlog/deadlines.go
+++ b/internal/backlog/deadlines.go
@@ -45,9 +45,9 @@
 	return out
 }
 
-// DueCame takes the ends that were read: the entries that were asked for, and the
+// DueCame takes the ends that were read: the messages that were asked for, and the
 // deadline of the one after them in a segment with an index block, if there is one.
-func (b *Backlog) DueCame(r DueRead, entries []Entry, after int64) {
+func (b *Backlog) DueCame(r DueRead, items []Item, after int64) {
 	s := b.exact(r.Segment)
 	if s == nil {
 		return
@@ -56,7 +56,7 @@
 	if r.Entries == nil {
 		s.due = after
 	}
-	for _, e := range entries {
+	for _, e := range items {
 		if !s.isGone(e.Seq) {
 			b.near = push(b.near, e, sooner)
 		}
@@ -86,14 +86,14 @@
 
 // Over returns the next message behind the window whose time is over by now, as no
 // longer behind it; false if there is none.
-func (b *Backlog) Over(now int64) (Entry, bool) {
+func (b *Backlog) Over(now int64) (Item, bool) {
 	for len(b.near) > 0 && b.near[0].Deadline <= now {
-		var e Entry
-		if e, b.near = pop(b.near, sooner); b.take(&e) {
+		var e Item
+		if e, b.near = pop(b.near, sooner); b.take(&e.Entry) {
 			return e, true
 		}
 	}
-	return Entry{}, false
+	return Item{}, false
 }
 
 // Wake is when something is to be done next for the ends of messages, Unix time in
--- a/internal/backlog/deadlines_test.go
+++ b/internal/backlog/deadlines_test.go
@@ -33,7 +33,7 @@
 		if again = b.DueReads(0); len(again) != 1 {
 			t.Fatalf("sealed %v: after the second failure it asks for %+v", sealed, again)
 		}
-		b.DueCame(again[0], entries, math.MaxInt64)
+		b.DueCame(again[0], items(entries), math.MaxInt64)
 		for want := uint64(20); want >= 16; want-- {
 			if e, ok := b.Over(100); !ok || e.Seq != want {
 				t.Fatalf("%+v ends, want %d", e, want)
--- a/internal/backlog/disk/log.go
+++ b/internal/backlog/disk/log.go
@@ -161,6 +161,9 @@
 			return nil, fmt.Errorf("backlog: %w", err)
 		}
 	}
+	l.mu.Lock()
+	safe := l.opts.Sync == store.SyncNever || g.safe == g.size
+	l.mu.Unlock()
 	l.buf.Reset()
 	base := g.size
 	if begins {
@@ -173,7 +176,7 @@
 		r.Seq = next
 		next++
 		off := base + int64(l.buf.Len())
-		head := appendRecord(&l.buf, g.salt, off, r, i == 0 && (l.opts.Sync == store.SyncNever || g.safe == g.size))
+		head := appendRecord(&l.buf, g.salt, off, r, i == 0 && safe)
 		entries[i] = backlog.Entry{Seq: r.Seq, Deadline: r.Deadline, Terms: r.Terms, Offset: uint32(off), Head: uint32(head),
 			Size: uint32(head + len(r.Body))}
 	}
--- a/internal/backlog/heap.go
+++ b/internal/backlog/heap.go
@@ -32,4 +32,4 @@
 	}
 }
 
-func sooner(a, b Entry) bool { return a.Deadline < b.Deadline }
+func sooner(a, b Item) bool { return a.Deadline < b.Deadline }
--- a/internal/backlog/model_test.go
+++ b/internal/backlog/model_test.go
@@ -203,7 +203,7 @@
 }
 
 func (m *model) came(r Read, entries []Entry, back bool) {
-	var returned []Entry
+	var returned []Item
 	for i, in := range m.b.Came(r, entries) {
 		e := entries[i]
 		x := m.bySeq[e.Seq]
@@ -219,7 +219,7 @@
 			}
 		}
 		if back && x.entry.Seq%2 == 0 || len(returned) > 0 { // it can't be taken into the module, nor can what follows
-			returned = append(returned, e)
+			returned = append(returned, Item{e, e.Seq})
 		}
 		x.state = stateIn
 	}
@@ -248,7 +248,7 @@
 		return
 	}
 	if r.Entries != nil {
-		m.b.DueCame(r, r.Entries, math.MaxInt64)
+		m.b.DueCame(r, items(r.Entries), math.MaxInt64)
 		return
 	}
 	f := m.files[r.Segment]
@@ -263,7 +263,15 @@
 	if int(r.From+r.N) < len(f.byDeadline) {
 		after = f.entries[f.byDeadline[r.From+r.N]].Deadline
 	}
-	m.b.DueCame(r, list, after)
+	m.b.DueCame(r, items(list), after)
+}
+
+// items has the number wanted back of each message.
+func items(list []Entry) (out []Item) {
+	for _, e := range list {
+		out = append(out, Item{e, e.Seq})
+	}
+	return out
 }
 
 // end ends what is over behind the window.
@@ -274,6 +282,9 @@
 			return
 		}
 		x := m.bySeq[e.Seq]
+		if e.Payload != e.Seq {
+			m.t.Fatalf("message %d ends with what is wanted back of %v", e.Seq, e.Payload)
+		}
 		if x.state != stateBehind || x.entry.Deadline > m.now {
 			m.t.Fatalf("message %d ends in state %d, %d before its time", e.Seq, x.state, x.entry.Deadline-m.now)
 		}
@@ -300,7 +311,8 @@
 }
 
 func (m *model) tidy() {
-	for _, first := range m.b.Finished() {
+	for _, x := range m.b.Finished() {
+		first := x.First
 		delete(m.files, first)
 		for _, r := range m.reads {
 			if r.Segment == first {
--- a/internal/backlog/reads.go
+++ b/internal/backlog/reads.go
@@ -117,13 +117,15 @@
 // Back takes messages of one lane back, in order, that came and could not be taken
 // into the module. It is called before the next [Backlog.Reads]. They are the next
 // ones of their lane again, after a [Backlog.Retry].
-func (b *Backlog) Back(id LaneID, entries []Entry) {
+func (b *Backlog) Back(id LaneID, items []Item) {
 	l := b.lanes[id]
-	for i := range entries {
+	entries := make([]Entry, len(items))
+	for i := range items {
+		entries[i] = items[i].Entry
 		s := b.segment(entries[i].Seq)
 		s.setGone(entries[i].Seq, false)
 		b.count(&entries[i])
-		b.near = push(b.near, entries[i], sooner) // its end may have been read before
+		b.near = push(b.near, items[i], sooner) // its end may have been read before
 		l.dest.in--
 	}
 	l.runs = slices.Insert(l.runs, 0, run{seg: b.segment(entries[0].Seq), back: entries, n: uint32(len(entries))})
--- a/internal/backlog/segment.go
+++ b/internal/backlog/segment.go
@@ -20,6 +20,12 @@
 	Terms    int64  // the number of the terms that it was taken on under
 }
 
+// Item is a message with what whoever reads it wants back when it ends.
+type Item struct {
+	Entry
+	Payload any
+}
+
 // Run is a stretch of an index block: the messages of one lane, in order.
 type Run struct {
 	Lane LaneID
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -20,6 +20,7 @@
 	defaultDescriptors = 4096
 	defaultDiskMB      = 256
 	defaultOpen        = 10_000
+	defaultBacklogMB   = 1024
 	defaultSlots       = 256
 	defaultAttempts    = 6
 	defaultRemembered  = 100_000
@@ -43,6 +44,7 @@
 	or(&l.Descriptors, defaultDescriptors)
 	or(&l.DiskMB, defaultDiskMB)
 	or(&l.OpenMessages, defaultOpen)
+	or(&l.BacklogMB, defaultBacklogMB)
 	or(&l.Slots, defaultSlots)
 	or(&l.Attempts, defaultAttempts)
 	or(&l.Remember, Duration(time.Hour))
@@ -187,7 +189,13 @@
 	within(c, "limits.memory_mb", l.MemoryMB, 16, 1<<20)
 	within(c, "limits.descriptors", l.Descriptors, 64, 1<<22)
 	within(c, "limits.disk_mb", l.DiskMB, 1, 1<<20)
-	within(c, "limits.open_messages", l.OpenMessages, 1, 10_000_000)
+	within(c, "limits.window", l.Window, 0, 1_000_000)
+	within(c, "limits.backlog_mb", l.BacklogMB, 1, 1<<24)
+	most := 10_000_000
+	if l.Window > 0 {
+		most = 1_000_000_000
+	}
+	within(c, "limits.open_messages", l.OpenMessages, 1, most)
 	within(c, "limits.slots", l.Slots, 1, 1_000_000)
 	within(c, "limits.attempts", l.Attempts, 1, 1000)
 	within(c, "limits.remember", l.Remember, Duration(time.Second), Duration(30*24*time.Hour))
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -51,6 +51,8 @@
 	Descriptors  int      `toml:"descriptors"`   // shared out between fronts and calls
 	DiskMB       int      `toml:"disk_mb"`       // bytes of the journal's folder, in millions
 	OpenMessages int      `toml:"open_messages"` // messages held at once
+	Window       int      `toml:"window"`        // messages of a partner in memory; others wait on the disk; 0 for all in memory
+	BacklogMB    int      `toml:"backlog_mb"`    // window: bytes of those that wait on the disk, in millions
 	Slots        int      `toml:"slots"`         // calls out at once
 	Attempts     int      `toml:"attempts"`      // for one message
 	Remember     Duration `toml:"remember"`      // ended messages are remembered so long ...
--- /dev/null
+++ b/internal/core/backlog.go
@@ -0,0 +1,341 @@
+package core
+
+import (
+	"math"
+	"time"
+
+	"cometrack/internal/backlog"
+	"cometrack/internal/backlog/disk"
+	"cometrack/internal/backlog/spill"
+	"cometrack/internal/journal"
+	"cometrack/internal/message"
+	"cometrack/logic"
+)
+
+const (
+	// endEarly is how long before the end of its time a message behind its window is
+	// over: its end has to be told within it.
+	endEarly = 100 * time.Millisecond
+	// mostEnds behind the windows are told in one step: others are not held up by a million.
+	mostEnds = 256
+)
+
+// Backlog keeps messages behind the windows of their destinations. [spill.Spill] is
+// one; it says what each method does. All of them belong to the loop.
+type Backlog interface {
+	Place(m *message.Message, ordered bool) backlog.Verdict
+	Put(r *disk.Record)
+	Room(body int) bool
+	Commit() error
+	Enter(partner string)
+	Leave(partner string)
+	Has(id string) bool
+	Lookup(id string, then func(*disk.Record))
+	Take(event any) (in []spill.Came, first, count uint64, ok bool)
+	Back(list []spill.Came)
+	Over(at int64) (r *disk.Record, seq uint64, ok bool)
+	Wake() int64
+	Work(now int64)
+	Tidy()
+	Rest()
+	Earlier(seq uint64) bool
+	Terms() []int64
+	Len() int
+	Behind(partner string) int
+	Close() error
+}
+
+// behind is the loop's part of the messages behind the windows; its zero value is
+// that of a core without any.
+type behind struct {
+	Backlog                   // nil for none
+	due     *time.Timer       // of the next end behind a window
+	came    []spill.Came      // since the last step
+	fresh   map[string]bool   // of these, by id
+	over    []ending          // ended behind their windows, not written yet
+	ending  map[string]uint64 // of these, the digests by id
+	placed  map[string]bool   // new messages that go behind their windows with this step, by id
+	looks   int               // lookups that have not answered
+	closing bool
+}
+
+type ending struct {
+	entry journal.Entry
+	end   message.End
+}
+
+// openBacklog opens what is behind the windows, and counts what the module has.
+func (c *Core) openBacklog() error {
+	if c.openBehind == nil {
+		return nil
+	}
+	b, err := c.openBehind(c.store, func(ev any, quit <-chan struct{}) {
+		select {
+		case c.events <- ev:
+		case <-quit:
+		case <-c.done:
+		}
+	})
+	if err != nil || b == nil {
+		return err
+	}
+	due := time.NewTimer(time.Hour)
+	c.behind = behind{Backlog: b, due: due, fresh: map[string]bool{}, ending: map[string]uint64{}, placed: map[string]bool{}, closing: c.behind.closing}
+	c.store.HoldTerms(b.Terms)
+	for _, h := range c.held {
+		if !h.over {
+			b.Enter(h.msg.Partner)
+		}
+	}
+	if c.behind.closing {
+		b.Rest()
+	}
+	return nil
+}
+
+// closeBacklog closes it; the store outlives it.
+func (c *Core) closeBacklog() {
+	if c.behind.Backlog == nil {
+		return
+	}
+	if err := c.behind.Close(); err != nil {
+		c.log.Error("backlog", "err", err)
+	}
+	c.behind.due.Stop()
+	c.behind.Backlog = nil
+}
+
+// ends is when a message behind a window ends next; it never fires without any.
+func (b *behind) ends() <-chan time.Time {
+	if b.Backlog == nil {
+		return nil
+	}
+	return b.due.C
+}
+
+// number is how many messages are behind the windows.
+func (b *behind) number() int {
+	if b.Backlog == nil {
+		return 0
+	}
+	return b.Len() + len(b.over)
+}
+
+// place sends a new message behind its window or turns it away; false if it goes into
+// the module.
+func (c *Core) place(ev putEvent, class *logic.Class) bool {
+	b, m := &c.behind, ev.msg
+	if b.Backlog == nil {
+		return false
+	}
+	ordered := class.KeepOrder && m.Order != ""
+	switch v := b.Place(m, ordered); {
+	case v == backlog.InWindow:
+		return false
+	case v == backlog.Turned || !b.Room(len(m.Body)):
+		ev.tell(Answer{Verdict: Busy})
+		return true
+	}
+	b.Put(&disk.Record{Message: *m, Accepted: time.Now().UnixMicro(), Terms: c.terms.n, Digest: m.Digest(), Ordered: ordered})
+	b.placed[m.ID] = true
+	c.puts = append(c.puts, ev)
+	c.fresh[m.ID] = m
+	return true
+}
+
+// commitBehind writes what goes behind the windows with this step.
+func (c *Core) commitBehind() error {
+	if c.behind.Backlog == nil {
+		return nil
+	}
+	err := c.behind.Commit()
+	if err != nil {
+		c.log.Error("backlog", "err", err)
+	}
+	return err
+}
+
+// lookFirst has a message looked up whose id may be behind a window, before it is
+// taken on; false if it is none.
+func (c *Core) lookFirst(ev putEvent) bool {
+	if c.behind.Backlog == nil || ev.sure || !c.behind.Has(ev.msg.ID) {
+		return false
+	}
+	c.behind.looks++
+	c.behind.Lookup(ev.msg.ID, func(r *disk.Record) {
+		c.behind.looks--
+		ev.sure = true
+		_, here := c.known(ev.msg.ID) // it may have come into its window meanwhile
+		switch {
+		case here || r == nil:
+			c.put(ev)
+		case r.Digest != ev.msg.Digest():
+			ev.tell(Answer{Verdict: Conflict})
+		default:
+			ev.tell(Answer{Verdict: Accepted, Again: true})
+		}
+	})
+	return true
+}
+
+// lookState answers one who asks for a message that may be behind a window; false
+// if it is none.
+func (c *Core) lookState(ask stateEvent) bool {
+	if c.behind.Backlog == nil || ask.sure || !c.behind.Has(ask.id) {
+		return false
+	}
+	c.behind.looks++
+	c.behind.Lookup(ask.id, func(r *disk.Record) {
+		c.behind.looks--
+		ask.sure, ask.found = true, r
+		c.asks = append(c.asks, ask)
+	})
+	return true
+}
+
+// stateBehind is what is known of a message behind a window.
+func stateBehind(r *disk.Record) State {
+	return State{ID: r.ID, Name: StateAccepted, Tenant: r.Tenant, Partner: r.Partner, Class: r.Class, Accepted: at(r.Accepted), Deadline: at(r.Deadline)}
+}
+
+// fromBehind takes an event of the backlog's; false if it is none.
+func (c *Core) fromBehind(ev any) bool {
+	if c.behind.Backlog == nil {
+		return false
+	}
+	list, first, count, ok := c.behind.Take(ev)
+	if count > 0 {
+		c.records = append(c.records, journal.Record{Op: journal.OpCleared, Behind: first, Count: count})
+	}
+	for i := range list {
+		if r := list[i].Record; r != nil && list[i].Err == nil && !c.store.Room(len(r.Body)) {
+			c.behind.Back(list[i:]) // read again later
+			break
+		}
+		c.enter(list[i])
+	}
+	return ok
+}
+
+// enter has the module take a message on that comes into its window.
+func (c *Core) enter(x spill.Came) {
+	r := x.Record
+	if r == nil {
+		c.log.Error("a message behind its window can't be read: nothing is known of it but its number", "number", x.Seq, "err", x.Err)
+		c.records = append(c.records, journal.Record{Op: journal.OpPassed, Behind: x.Seq})
+		c.behind.Leave(x.Partner)
+		return
+	}
+	if x.Err != nil {
+		c.log.Error("a message behind its window is damaged: it is returned", "id", r.ID, "partner", r.Partner, "err", x.Err)
+		c.behind.Leave(x.Partner)
+		c.overBehind(r, x.Seq)
+		return
+	}
+	now := time.Now().UnixMicro()
+	m := &r.Message
+	h := &held{msg: m, accepted: r.Accepted, terms: r.Terms, class: c.terms.class(r.Class)}
+	in := c.callOf(m, now)
+	if r.Terms != c.terms.n {
+		if in.Terms = termsOf(c.store.Terms(r.Terms), r.Class); in.Terms != nil {
+			h.class = &in.Terms.Class
+		}
+	}
+	if h.class == nil {
+		c.log.Error("a message behind its window is of a class that is not configured: it is returned", "id", r.ID, "class", r.Class)
+		c.behind.Leave(x.Partner)
+		c.overBehind(r, x.Seq)
+		return
+	}
+	in.Past = logic.Past{Held: c.from == nil && c.behind.Earlier(x.Seq)}
+	c.held[m.ID] = h
+	c.open++
+	c.behind.came, c.behind.fresh[m.ID] = append(c.behind.came, x), true
+	c.records = append(c.records, journal.Record{Op: journal.OpAccept,
+		Entry: &journal.Entry{Message: *m, Accepted: r.Accepted, Terms: r.Terms, Behind: x.Seq}})
+	c.next = append(c.next, in)
+}
+
+// overBehind ends a message that was behind its window: it never ran.
+func (c *Core) overBehind(r *disk.Record, seq uint64) {
+	m := r.Message
+	m.Body = nil
+	c.behind.over = append(c.behind.over, ending{entry: journal.Entry{Message: m, Accepted: r.Accepted, Terms: r.Terms, Behind: seq, EndDigest: r.Digest, Left: 1},
+		end: message.End{ID: r.ID, State: message.Returned, At: time.Now().UnixMicro()}})
+	c.behind.ending[r.ID] = r.Digest
+}
+
+// endBehind ends what is over behind the windows.
+func (c *Core) endBehind() {
+	if c.behind.Backlog == nil {
+		return
+	}
+	at := time.Now().Add(endEarly).UnixMicro()
+	for len(c.behind.over) < mostEnds {
+		r, seq, ok := c.behind.Over(at)
+		if !ok {
+			break
+		}
+		if r == nil {
+			c.log.Error("a message behind its window is over and can't be read: nothing is known of it but its number", "number", seq)
+			c.records = append(c.records, journal.Record{Op: journal.OpPassed, Behind: seq})
+			continue
+		}
+		c.overBehind(r, seq)
+	}
+	for i := range c.behind.over {
+		x := &c.behind.over[i]
+		entry, end := x.entry, x.end
+		c.records = append(c.records, journal.Record{Op: journal.OpAccept, Entry: &entry}, journal.Record{Op: journal.OpEnd, ID: end.ID, End: &end})
+	}
+}
+
+// wroteBehind takes what became of a step's records: those that came into their
+// windows are held, or go back; those that ended are told.
+func (c *Core) wroteBehind(err error) {
+	if c.behind.Backlog == nil {
+		return
+	}
+	if err != nil {
+		for _, x := range c.behind.came {
+			if h := c.held[x.Record.ID]; h != nil {
+				c.open--
+				delete(c.held, x.ID)
+				c.next = append(c.next, logic.ClientGone{ID: x.Record.ID})
+			}
+		}
+		c.behind.Back(c.behind.came)
+	} else {
+		for _, x := range c.behind.came {
+			c.leaveBody(x.Record.ID)
+		}
+		for i := range c.behind.over {
+			x := &c.behind.over[i]
+			c.ended = append(c.ended, x.end.ID)
+			delete(c.behind.ending, x.end.ID)
+			c.sink.Add(&x.entry.Message, x.end)
+		}
+		clear(c.behind.over)
+		c.behind.over = c.behind.over[:0]
+	}
+	clear(c.behind.came)
+	c.behind.came = c.behind.came[:0]
+	clear(c.behind.fresh)
+}
+
+// workBehind has what is next read, and the timer set for what ends next.
+func (c *Core) workBehind() {
+	if c.behind.Backlog == nil {
+		return
+	}
+	now := time.Now()
+	c.behind.Work(now.Add(endEarly).UnixMicro())
+	if at := c.behind.Wake(); at != math.MaxInt64 {
+		c.behind.due.Reset(max(time.UnixMicro(at).Sub(now)-endEarly, time.Millisecond))
+	} else {
+		c.behind.due.Reset(time.Hour)
+	}
+	if len(c.behind.over) > 0 { // they could not be written
+		c.behind.due.Reset(retryPause)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,6 +52,10 @@
 	Allowed func() float64
 	// Others are the senders with which lessons are shared; nil for none.
 	Others Others
+	// Behind opens what keeps messages behind the windows of their destinations, once
+	// the store is open; nil, or a nil Backlog, for none: all are in the module. What is
+	// told belongs to that Backlog's Take.
+	Behind func(s Store, tell func(event any, quit <-chan struct{})) (Backlog, error)
 	// From is what another process hands over; nil for a start from the store alone.
 	From *Inheritance
 }
@@ -81,22 +85,23 @@
 
 // Core is one sender.
 type Core struct {
-	cfg       Config
-	reopen    func() (Store, error)
-	allowed   func() float64
-	others    Others // nil for none
-	from      *Inheritance
-	stated    atomic.Pointer[terms] // what clients are held to
-	log       *slog.Logger
-	store     Store
-	transport Transport
-	source    Source
-	sink      EndSink
-	life      *lifecycle.Life
-	sender    *logic.Sender
-	events    chan any
-	done      chan struct{} // closed when the loop has ended
-	ready     chan struct{} // closed once clients are served
+	cfg        Config
+	reopen     func() (Store, error)
+	allowed    func() float64
+	others     Others // nil for none
+	from       *Inheritance
+	stated     atomic.Pointer[terms] // what clients are held to
+	log        *slog.Logger
+	store      Store
+	transport  Transport
+	source     Source
+	sink       EndSink
+	life       *lifecycle.Life
+	sender     *logic.Sender
+	openBehind func(Store, func(any, <-chan struct{})) (Backlog, error)
+	events     chan any
+	done       chan struct{} // closed when the loop has ended
+	ready      chan struct{} // closed once clients are served
 
 	// What follows belongs to the loop.
 	dir      *directory
@@ -109,6 +114,7 @@
 	start    time.Time
 	held     map[string]*held
 	open     int           // of held, those not over
+	behind   behind        // what the module does not have
 	next     []logic.Event // for the next step
 	puts     []putEvent
 	fresh    map[string]*message.Message // of puts, those that are new, by id
@@ -136,7 +142,7 @@
 	if parts.Life == nil {
 		parts.Life = lifecycle.NewLife(Times, parts.Log)
 	}
-	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, early: map[string]earlyWait{}, from: parts.From, afar: map[string]*held{}, log: parts.Log, store: parts.Store,
+	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, early: map[string]earlyWait{}, from: parts.From, openBehind: parts.Behind, afar: map[string]*held{}, log: parts.Log, store: parts.Store,
 		transport: parts.Transport, source: parts.Source, sink: parts.Sink, sender: sender,
 		events: make(chan any, eventRoom), done: make(chan struct{}), ready: make(chan struct{}),
 		dir: newDirectory(cfg.Zones, cfg.Settings.Kinds), start: time.Now(), due: time.NewTimer(time.Hour),
@@ -159,6 +165,7 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer func() { c.store.Close() }()
+	defer c.closeBacklog()
 	deciding, decided := context.WithCancel(work) // over once another process decides
 	defer decided()
 	c.deciding = deciding
@@ -171,6 +178,9 @@
 		c.watch()
 	}
 	attrs := []any{"name", c.cfg.Name, "held", len(c.held)}
+	if c.behind.Backlog != nil {
+		attrs = append(attrs, "behind", c.behind.Len())
+	}
 	for _, f := range fronts {
 		c.from.listen(f)
 		if err := f.Listen(); err != nil {
--- a/internal/core/door.go
+++ b/internal/core/door.go
@@ -70,12 +70,15 @@
 			kept += max(most/2/len(c.doors)-x.open, 0)
 		}
 	}
-	return c.open+kept < most
+	return c.open+c.behind.number()+kept < most
 }
 
 // leave takes a message that is over, or was never taken on, out of the counts.
 func (c *Core) leave(h *held) {
 	c.open--
+	if c.behind.Backlog != nil {
+		c.behind.Leave(h.msg.Partner)
+	}
 	if h.door != nil {
 		h.door.open--
 	}
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -70,6 +70,7 @@
 		return false, nil
 	}
 	taken := false
+	c.closeBacklog()
 	if err = c.store.Close(); err == nil {
 		var listeners []net.Listener
 		for _, f := range fronts {
@@ -107,6 +108,9 @@
 			if err := c.setTerms(c.terms); err != nil {
 				c.log.Error("settings", "err", err)
 			}
+			if err := c.openBacklog(); err != nil {
+				return fmt.Errorf("come back after a handover that failed: %w", err)
+			}
 			return nil
 		}
 		c.log.Error("the journal can't be opened again", "err", err)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cometrack/internal/backlog/disk"
 	"cometrack/internal/journal"
 	"cometrack/internal/message"
 	"cometrack/logic"
@@ -17,13 +18,16 @@
 		msg    *message.Message
 		door   *Door // nil if the front has none
 		answer chan<- Answer
+		sure   bool // no message of its id is behind a window
 	}
 	// stateEvent asks for the state of a message. With watch, the answer waits
 	// until the message is over.
 	stateEvent struct {
 		id     string
 		watch  bool
-		answer chan State // has room for one
+		answer chan State   // has room for one
+		sure   bool         // it has been looked up behind the windows
+		found  *disk.Record // what was found there
 	}
 	// unwatchEvent says that nobody waits for an answer any more.
 	unwatchEvent struct {
@@ -70,6 +74,7 @@
 			c.take(ev)
 		case <-c.due.C:
 			c.next = append(c.next, logic.Due{Token: c.token})
+		case <-c.behind.ends():
 		case <-sweep.C:
 			c.sweep(time.Now())
 			continue
@@ -93,7 +98,7 @@
 		for len(c.next) > 0 {
 			c.step(work)
 		}
-		if heir := c.heir; heir != nil {
+		if heir := c.heir; heir != nil && c.behind.looks == 0 {
 			c.heir = nil
 			if taken, err := c.handOver(heir, fronts); taken || err != nil {
 				return heir, err
@@ -108,6 +113,9 @@
 // sweep drops what is of no more use.
 func (c *Core) sweep(now time.Time) {
 	c.transport.Sweep()
+	if c.behind.Backlog != nil {
+		c.behind.Tidy()
+	}
 	c.remember(rememberSweep)
 	if err := c.store.Append(c.records); err != nil {
 		c.log.Error("journal", "err", err) // they are of the past, and written later
@@ -191,6 +199,9 @@
 	for name, n := range orphans {
 		c.log.Warn("held messages are for a partner that is not known; they are kept until their time is up", "partner", name, "messages", n)
 	}
+	if err := c.openBacklog(); err != nil {
+		return err
+	}
 	return c.takenOver()
 }
 
@@ -241,6 +252,12 @@
 		c.retune(ev)
 	case closingEvent:
 		c.next = append(c.next, logic.Closing{Left: micros(ev.left)})
+		c.behind.closing = true
+		if c.behind.Backlog != nil {
+			c.behind.Rest()
+		}
+	default:
+		c.fromBehind(ev)
 	}
 }
 
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -208,6 +208,12 @@
 	Waits() map[string]int64
 	AddTerms(t journal.Terms) (n int64, rec *journal.Record, err error)
 	Terms(n int64) *journal.Terms
+	// HoldTerms has terms kept that messages elsewhere are held to.
+	HoldTerms(list func() []int64)
+	// Gone says whether the message of a number is no longer behind its window;
+	// MostBehind is the largest number that is known of.
+	Gone(seq uint64) bool
+	MostBehind() uint64
 	Partners() map[string]*journal.Partner
 	Forget(now time.Time)
 	Len() int
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -11,6 +11,7 @@
 
 // step lets the module decide, writes the journal, and then acts, in order.
 func (c *Core) step(work context.Context) {
+	c.endBehind()
 	events := c.next
 	c.next = nil
 	actions := c.sender.Step(micros(time.Since(c.start)), events)
@@ -18,7 +19,7 @@
 	now := time.Now().UnixMicro()
 	for _, p := range c.puts {
 		id := p.msg.ID
-		if _, told := answers[id]; !told && c.fresh[id] == p.msg {
+		if _, told := answers[id]; !told && c.fresh[id] == p.msg && !c.behind.placed[id] {
 			c.records = append(c.records, journal.Record{Op: journal.OpAccept,
 				Entry: &journal.Entry{Message: *p.msg, Accepted: c.held[id].accepted, Terms: c.held[id].terms}})
 		}
@@ -38,17 +39,25 @@
 	if len(c.records) > 0 { // a write is due anyway
 		c.remember(rememberStep)
 	}
+	notBehind := c.commitBehind()
 	err := c.store.Append(c.records)
 	clear(c.records)
 	c.records = c.records[:0]
 	if err != nil {
 		c.log.Error("journal", "err", err)
 	}
+	c.wroteBehind(err)
 	for _, p := range c.puts {
 		id := p.msg.ID
 		switch answer, told := answers[id]; {
 		case told:
 			p.tell(answer)
+		case c.behind.placed[id]:
+			if notBehind != nil {
+				p.tell(Answer{Verdict: Busy})
+			} else {
+				p.tell(Answer{Verdict: Accepted, Again: c.fresh[id] != p.msg})
+			}
 		case err != nil: // not written, so not taken on
 			p.tell(Answer{Verdict: Busy})
 			if c.fresh[id] == p.msg {
@@ -76,26 +85,32 @@
 	}
 	c.callOuts(work, outs, err == nil)
 	c.leaveBodies()
+	clear(c.behind.placed)
 	c.tellStates()
+	c.workBehind()
 }
 
 // leaveBodies forgets the bodies of new messages that the store has taken over.
 // Calls that are on their way have them still.
 func (c *Core) leaveBodies() {
 	for id := range c.fresh {
-		if e, h := c.store.Entry(id), c.held[id]; e != nil && h != nil && e.Left > 0 {
-			without := *h.msg
-			without.Body = nil
-			h.msg, h.left = &without, true
-		}
+		c.leaveBody(id)
 	}
 	clear(c.fresh)
 }
 
+func (c *Core) leaveBody(id string) {
+	if e, h := c.store.Entry(id), c.held[id]; e != nil && h != nil && e.Left > 0 {
+		without := *h.msg
+		without.Body = nil
+		h.msg, h.left = &without, true
+	}
+}
+
 // isOwed says whether the message has been taken on and is not over.
 func (c *Core) isOwed(id string) bool {
 	e := c.store.Entry(id)
-	return e != nil && e.End == nil
+	return e != nil && e.End == nil || c.behind.fresh[id]
 }
 
 // endOf is the end that the module has decided on.
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -49,6 +49,12 @@
 	if e := c.store.Ended(id); e != nil {
 		return e.Digest, true
 	}
+	if m := c.fresh[id]; m != nil { // goes behind its window with this step
+		return m.Digest(), true
+	}
+	if digest, ok := c.behind.ending[id]; ok {
+		return digest, true
+	}
 	return 0, false
 }
 
@@ -66,6 +72,9 @@
 		}
 		return
 	}
+	if c.lookFirst(ev) {
+		return
+	}
 	class := c.terms.class(m.Class)
 	if class == nil { // dropped since it was checked: its client is told when it comes again
 		ev.tell(Answer{Verdict: Busy})
@@ -79,13 +88,23 @@
 		}
 		return
 	}
-	if !c.roomFor(ev.door) || !c.store.Room(len(m.Body)) {
+	if !c.roomFor(ev.door) {
+		ev.tell(Answer{Verdict: Busy})
+		return
+	}
+	if c.place(ev, class) {
+		return
+	}
+	if !c.store.Room(len(m.Body)) {
 		ev.tell(Answer{Verdict: Busy})
 		return
 	}
 	now := time.Now().UnixMicro()
 	c.held[m.ID] = &held{msg: m, accepted: now, door: ev.door, terms: c.terms.n, class: class}
 	c.open++
+	if c.behind.Backlog != nil {
+		c.behind.Enter(m.Partner)
+	}
 	if ev.door != nil {
 		ev.door.open++
 	}
@@ -214,6 +233,11 @@
 	c.ended = c.ended[:0]
 	for _, ask := range c.asks {
 		s := c.state(ask.id)
+		if s.Name == "" && ask.found != nil {
+			s = stateBehind(ask.found)
+		} else if s.Name == "" && c.lookState(ask) {
+			continue
+		}
 		if ask.watch && !s.IsOver() {
 			c.watchers[ask.id] = append(c.watchers[ask.id], ask.answer)
 			continue
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	parts := core.Parts{Store: kept, Life: life, From: from, Reopen: func() (core.Store, error) { return open() }, Log: log}
+	parts := core.Parts{Behind: behind(f, log), Store: kept, Life: life, From: from, Reopen: func() (core.Store, error) { return open() }, Log: log}
 	var others *cluster.Cluster
 	if f.Cluster != nil {
 		if others, err = cluster.Open(meet(f, log)); err != nil {
@@ -81,7 +81,7 @@
 	s := &Standalone{file: f, cluster: others, life: parts.Life, log: parts.Log}
 	list, log := f.List(s.part()), parts.Log
 	s.source = static.New(list)
-	share := shareOut(f.Limits.Descriptors, f.Limits.Slots, store.MostFiles(int64(f.Limits.DiskMB)*1e6), consoleFiles(f.Console.Listen))
+	share := shareOut(f.Limits.Descriptors, f.Limits.Slots, store.MostFiles(int64(f.Limits.DiskMB)*1e6)+backlogFiles(f), consoleFiles(f.Console.Listen))
 	transport := httptransport.New(time.Duration(f.Transport.HTTP.ConnectTimeout), time.Duration(f.Transport.HTTP.Idle),
 		httptransport.Limits{Open: share.calls, Idle: share.idle, PerEndpoint: f.Limits.Slots})
 	transport.Source, transport.RetryAfter = net.ParseIP(f.Transport.HTTP.Source), true
--- a/internal/journal/describe.go
+++ b/internal/journal/describe.go
@@ -26,6 +26,11 @@
 		d.What, d.Value = "partner", &Partner{}
 	case keyTerms:
 		d.What, d.Value = "terms", &Terms{}
+	case keyPassed:
+		d.What = "passed"
+		p := newPassed()
+		d.Value = value
+		return d, p.load(d.ID, value)
 	default:
 		return d, fmt.Errorf("record %q is of no kind that this program knows", key)
 	}
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -21,6 +21,7 @@
 	EndDigest uint64       `json:"digest,omitempty"` // of the message as it was, once its body is not in memory
 	Left      int          `json:"-"`                // bytes of a body that is in the store only, see [Journal.Body]
 	Terms     int64        `json:"-"`                // the number of the [Terms] that it was taken on under; 0 if not known
+	Behind    uint64       `json:"-"`                // its number while it was behind the window of its destination; 0 if it never was
 	n         int64        // its place in the order in which messages were taken on
 }
 
@@ -55,6 +56,8 @@
 	OpEnded                 // what is remembered of one that is over; only in files of before 0.3
 	OpPartner               // what is known of the partner ID
 	OpTerms                 // messages are taken on under Terms from here on
+	OpPassed                // the message of the number Behind is no longer behind its window, and nothing else is known of it
+	OpCleared               // Count numbers from Behind on are of nobody any more: nothing is left of them behind the windows
 )
 
 // Record is one thing that has happened.
@@ -70,4 +73,6 @@
 	// Partner is what is known of the partner ID.
 	Partner *Partner `json:"-"`
 	Terms   *Terms   `json:"-"`
+	Behind  uint64   `json:"-"`
+	Count   uint64   `json:"-"`
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -63,7 +63,9 @@
 	partners   partners
 	terms      map[int64]*Terms
 	dirtyTerms map[int64]bool
-	newest     int64 // the terms that messages are taken on under
+	passed     passed
+	heldTerms  func() []int64 // those that messages elsewhere are held to; nil for none
+	newest     int64          // the terms that messages are taken on under
 	lastTerms  int64
 }
 
@@ -98,7 +100,7 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	j := &Journal{store: st, opts: opts, log: opts.Log, entries: map[string]*Entry{}, waits: map[string]int64{}, dirty: map[string]mark{}, dirtyWaits: map[string]bool{},
-		terms: map[int64]*Terms{}, dirtyTerms: map[int64]bool{}}
+		terms: map[int64]*Terms{}, dirtyTerms: map[int64]bool{}, passed: newPassed()}
 	j.ended = newEnded(opts.MostEnded, int64(endedPart*float64(st.Stats().Capacity)), func(id string) { j.mark(id, markState) })
 	j.partners = partners{by: map[string]*known{}, dirty: map[string]bool{}}
 	if opts.Partners {
@@ -147,6 +149,10 @@
 				return err
 			}
 			j.terms[t.N], j.lastTerms = t, max(j.lastTerms, t.N)
+		case keyPassed:
+			if err := j.passed.load(id, value); err != nil {
+				return err
+			}
 		case keyPartner:
 			r := &Partner{}
 			if err := decode(key, value, r); err != nil { // not worth a refusal to start
@@ -162,6 +168,11 @@
 	if err != nil {
 		return err
 	}
+	for _, e := range j.entries { // one that a crash has left in both places is here
+		if e.Behind > 0 {
+			j.passed.set(e.Behind, true)
+		}
+	}
 	if unread > 0 {
 		j.log.Error("journal: records can't be read", "records", unread)
 	}
@@ -283,8 +294,10 @@
 			m |= markState
 		}
 		j.mark(e.ID, m)
+		j.passed.set(e.Behind, true)
 		return func() {
 			delete(j.entries, e.ID)
+			j.passed.set(e.Behind, false)
 			j.mark(e.ID, markMessage|markState) // part of it may have been written
 		}
 	case OpWait:
@@ -294,6 +307,12 @@
 			j.dropWaits(time.Now())
 		}
 		return nil
+	case OpPassed:
+		j.passed.set(rec.Behind, true)
+		return nil
+	case OpCleared:
+		j.passed.clear(rec.Behind, rec.Count)
+		return nil
 	case OpPartner:
 		j.applyPartner(rec.ID, rec.Partner)
 		return nil
@@ -421,6 +440,17 @@
 		}
 		j.putPartner(b, name)
 	}
+	// Last, and all at once: none is written unless each message that it says is here, is.
+	if err := commit(len(j.passed.dirty) * passedSize); err != nil {
+		return err
+	}
+	for n := range j.passed.dirty {
+		if p := j.passed.parts[n]; p != nil {
+			b.Put(passedKey(n), p.encode())
+		} else {
+			b.Delete(passedKey(n))
+		}
+	}
 	if err := j.store.Commit(b); err != nil {
 		return err
 	}
@@ -433,6 +463,7 @@
 	clear(j.dirty)
 	clear(j.dirtyWaits)
 	clear(j.dirtyTerms)
+	clear(j.passed.dirty)
 	j.changed = j.changed[:0]
 	return nil
 }
@@ -510,7 +541,7 @@
 	j.ended.forget(now)
 	j.partners.forget(now)
 	j.dropTerms()
-	if len(j.dirty)+len(j.dirtyTerms)+len(j.dirtyWaits)+len(j.partners.dirty) > 0 {
+	if len(j.dirty)+len(j.passed.dirty)+len(j.dirtyTerms)+len(j.dirtyWaits)+len(j.partners.dirty) > 0 {
 		if err := j.flush(); err != nil {
 			j.log.Warn("journal: what is forgotten is not written yet", "err", err)
 		}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -13,13 +13,15 @@
 // once it has ended, and "s" and its id for what became of it. Both carry n: a
 // state that another message of the same id has left is told by it. "w" and an
 // endpoint's name holds a wait, "p" and a partner's name what is known of it, "c" and
-// a number what messages were taken on under.
+// a number what messages were taken on under. "b" and a number says which of the
+// messages that were behind windows no longer are, see passed.go.
 const (
 	keyMessage = "m"
 	keyState   = "s"
 	keyWait    = "w"
 	keyPartner = "p"
 	keyTerms   = "c"
+	keyPassed  = "b"
 )
 
 // The records are CBOR maps with numbers as keys (RFC 8949): a reader skips keys
@@ -36,6 +38,7 @@
 	Order    string `cbor:"8,keyasint,omitempty"`
 	Body     []byte `cbor:"9,keyasint,omitempty"`
 	Terms    int64  `cbor:"10,keyasint,omitempty"` // the number of its terms; 0 in files of before 0.4
+	Behind   uint64 `cbor:"11,keyasint,omitempty"` // its number behind the window of its destination
 }
 
 type stateRecord struct {
@@ -94,12 +97,12 @@
 
 func messageOf(buf *bytes.Buffer, e *Entry) []byte {
 	return encode(buf, &messageRecord{N: e.n, Accepted: e.Accepted, Deadline: e.Deadline, Class: e.Class, Partner: e.Partner,
-		Tenant: e.Tenant, Key: e.Key, Order: e.Order, Body: e.Body, Terms: e.Terms})
+		Tenant: e.Tenant, Key: e.Key, Order: e.Order, Body: e.Body, Terms: e.Terms, Behind: e.Behind})
 }
 
 func (r *messageRecord) entry(id string) *Entry {
 	return &Entry{Message: message.Message{ID: id, Key: r.Key, Order: r.Order, Class: r.Class, Tenant: r.Tenant,
-		Partner: r.Partner, Deadline: r.Deadline, Body: r.Body}, Accepted: r.Accepted, Terms: r.Terms, n: r.N}
+		Partner: r.Partner, Deadline: r.Deadline, Body: r.Body}, Accepted: r.Accepted, Terms: r.Terms, Behind: r.Behind, n: r.N}
 }
 
 func stateOf(buf *bytes.Buffer, e *Entry) []byte {
--- a/internal/journal/terms.go
+++ b/internal/journal/terms.go
@@ -61,6 +61,10 @@
 	return t.N, &Record{Op: OpTerms, Terms: &t}, nil
 }
 
+// HoldTerms has terms kept that messages elsewhere are held to, as list tells; nil
+// for none.
+func (j *Journal) HoldTerms(list func() []int64) { j.heldTerms = list }
+
 // Terms returns the terms of a number; nil if there are none.
 func (j *Journal) Terms(n int64) *Terms { return j.terms[n] }
 
@@ -78,6 +82,11 @@
 	for _, e := range j.entries {
 		used[e.Terms] = true
 	}
+	if j.heldTerms != nil {
+		for _, n := range j.heldTerms() {
+			used[n] = true
+		}
+	}
 	for n := range j.terms {
 		if !used[n] {
 			delete(j.terms, n)
