--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -436,6 +436,11 @@
 	b.soonest = min(b.soonest, s.due)
 }
 
+// Lives says whether a segment has one of the numbers from first to last.
+func (b *Backlog) Lives(first, last uint64) bool {
+	return slices.ContainsFunc(b.segments, func(s *segment) bool { return s.first <= last && first < s.first+uint64(s.n) })
+}
+
 // Finished is a segment of which nothing is behind the window any more: its first
 // number, and how many it has.
 type Finished struct{ First, N uint64 }
--- a/internal/backlog/spill/spill.go
+++ b/internal/backlog/spill/spill.go
@@ -15,9 +15,11 @@
 type Options struct {
 	Window int   // messages of a destination in the module
 	Disk   int64 // bytes of all files
-	Sync   store.Sync
-	Every  time.Duration // store.SyncInterval: how often
-	Log    *slog.Logger
+	// Segment is the bytes of a file at most; 0 for a default.
+	Segment int64
+	Sync    store.Sync
+	Every   time.Duration // store.SyncInterval: how often
+	Log     *slog.Logger
 }
 
 // Gone is what the journal knows of messages that were behind a window.
@@ -26,6 +28,8 @@
 	Gone(seq uint64) bool
 	// MostBehind is the largest number that it knows of.
 	MostBehind() uint64
+	// KeepPassed drops what it knows of numbers that nothing is left of.
+	KeepPassed(lives func(first, last uint64) bool)
 }
 
 const (
@@ -70,6 +74,7 @@
 	}
 	removedEvent struct{ first, n uint64 }
 	retryEvent   struct{ lane backlog.LaneID }
+	failedEvent  struct{ read backlog.DueRead }
 	told         struct {
 		by    *worker
 		event any
@@ -85,7 +90,7 @@
 // beside the caller to tell, which may be called at any time until Close returns, and
 // has to return once quit is closed.
 func Open(fs vfs.FS, gone Gone, opts Options, tell func(event any, quit <-chan struct{})) (*Spill, error) {
-	l, err := disk.Open(fs, gone.MostBehind(), disk.Options{Limit: opts.Disk, Sync: opts.Sync, Every: opts.Every, Log: opts.Log})
+	l, err := disk.Open(fs, gone.MostBehind(), disk.Options{Limit: opts.Disk, Segment: opts.Segment, Sync: opts.Sync, Every: opts.Every, Log: opts.Log})
 	if err != nil {
 		return nil, err
 	}
@@ -97,6 +102,7 @@
 		l.Close()
 		return nil, err
 	}
+	gone.KeepPassed(s.b.Lives)
 	s.since, _ = l.Begins()
 	s.work = newWorker(l, opts, tell)
 	return s, nil
@@ -257,6 +263,8 @@
 		return nil, ev.first, ev.n, true
 	case retryEvent:
 		s.b.Retry(ev.lane)
+	case failedEvent:
+		s.b.DueFailed(ev.read)
 	case foundEvent:
 		if ev.err != nil {
 			s.log.Error("backlog: a message can't be looked up", "err", ev.err)
@@ -319,7 +327,7 @@
 func (s *Spill) due(ev dueEvent) {
 	if ev.err != nil {
 		s.log.Error("backlog: ends can't be read yet", "err", ev.err)
-		s.b.DueFailed(ev.read)
+		s.work.after(RetryAfter, failedEvent{ev.read})
 		return
 	}
 	items := make([]backlog.Item, len(ev.got))
--- a/internal/backlog/spill/worker.go
+++ b/internal/backlog/spill/worker.go
@@ -165,5 +165,6 @@
 	return foundEvent{got, err, j.then}
 }
 
-func (ev retryEvent) do(*worker) any { return ev }
-func (ev foundEvent) do(*worker) any { return ev }
+func (ev retryEvent) do(*worker) any  { return ev }
+func (ev failedEvent) do(*worker) any { return ev }
+func (ev foundEvent) do(*worker) any  { return ev }
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -214,6 +214,8 @@
 	// MostBehind is the largest number that is known of.
 	Gone(seq uint64) bool
 	MostBehind() uint64
+	// KeepPassed drops what is known of numbers that nothing is left of.
+	KeepPassed(lives func(first, last uint64) bool)
 	Partners() map[string]*journal.Partner
 	Forget(now time.Time)
 	Len() int
--- a/internal/journal/ended.go
+++ b/internal/journal/ended.go
@@ -15,8 +15,9 @@
 	Over     int64  `json:"over"`
 	Digest   uint64 `json:"digest"`
 	Until    int64  `json:"until"` // forgotten after this, Unix time in microseconds
-	n        int64  // of its [Entry]
-	saved    bool   // it is to be in the store
+	behind   uint64 // of its [Entry], as is n
+	n        int64
+	saved    bool // it is to be in the store
 }
 
 // size is roughly what it takes in the store.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -169,9 +169,10 @@
 		return err
 	}
 	for _, e := range j.entries { // one that a crash has left in both places is here
-		if e.Behind > 0 {
-			j.passed.set(e.Behind, true)
-		}
+		j.passed.keep(e.Behind)
+	}
+	for _, r := range states {
+		j.passed.keep(r.Behind)
 	}
 	if unread > 0 {
 		j.log.Error("journal: records can't be read", "records", unread)
@@ -368,7 +369,7 @@
 // endedOf is what is remembered of a message whose last record is rec.
 func (j *Journal) endedOf(e *Entry, rec *Record) *Ended {
 	x := &Ended{ID: e.ID, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, State: message.Delivered, Tries: e.Tries,
-		Accepted: e.Accepted, Over: rec.At, Digest: e.Told(), Until: e.Deadline, n: e.n}
+		Accepted: e.Accepted, Over: rec.At, Digest: e.Told(), Until: e.Deadline, behind: e.Behind, n: e.n}
 	if e.End != nil {
 		x.State, x.AfterMS, x.Over = e.End.State, e.End.AfterMS, e.End.At
 	}
--- a/internal/journal/passed.go
+++ b/internal/journal/passed.go
@@ -71,6 +71,18 @@
 	p.most = max(p.most, n)
 }
 
+// keep notes a number of a message that the store has; 0 is none.
+func (p *passed) keep(n uint64) {
+	if n > 0 && !p.has(n) {
+		p.set(n, true)
+	}
+}
+
+func (p *passed) has(n uint64) bool {
+	s := p.parts[n/passedPart]
+	return s != nil && s[n%passedPart/64]&(1<<(n%64)) != 0
+}
+
 // clear drops what is known of count numbers from first on, which a segment began with.
 func (p *passed) clear(first, count uint64) {
 	for part := first / passedPart; part*passedPart < first+count; part++ {
@@ -81,12 +93,18 @@
 	}
 }
 
-// Gone says whether the message of a number is no longer behind its window.
-func (j *Journal) Gone(n uint64) bool {
-	s := j.passed.parts[n/passedPart]
-	return s != nil && s[n%passedPart/64]&(1<<(n%64)) != 0
+// KeepPassed drops what is known of numbers in no segment that lives says there is.
+func (j *Journal) KeepPassed(lives func(first, last uint64) bool) {
+	for part := range j.passed.parts {
+		if !lives(part*passedPart, part*passedPart+passedPart-1) {
+			j.passed.clear(part*passedPart, 1)
+		}
+	}
 }
 
+// Gone says whether the message of a number is no longer behind its window.
+func (j *Journal) Gone(n uint64) bool { return j.passed.has(n) }
+
 // MostBehind is the largest number of a message behind a window that was ever told,
 // or one above it.
 func (j *Journal) MostBehind() uint64 { return j.passed.most }
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -60,6 +60,7 @@
 	Class    string `cbor:"15,keyasint,omitempty"`
 	Partner  string `cbor:"16,keyasint,omitempty"`
 	Tenant   string `cbor:"17,keyasint,omitempty"`
+	Behind   uint64 `cbor:"18,keyasint,omitempty"` // its number behind the window of its destination
 }
 
 type waitRecord struct {
@@ -110,6 +111,7 @@
 	if x := e.End; x != nil {
 		r.End, r.AfterMS, r.At, r.Digest = endCode(x.State), x.AfterMS, x.At, e.EndDigest
 		r.Accepted, r.Deadline, r.Class, r.Partner, r.Tenant = e.Accepted, e.Deadline, e.Class, e.Partner, e.Tenant
+		r.Behind = e.Behind
 	}
 	return encode(buf, &r)
 }
@@ -122,7 +124,7 @@
 // owed is the entry of a message that has ended and whose notice is owed.
 func (r *stateRecord) owed(id string) *Entry {
 	e := &Entry{Message: message.Message{ID: id, Class: r.Class, Tenant: r.Tenant, Partner: r.Partner, Deadline: r.Deadline},
-		Accepted: r.Accepted, EndDigest: r.Digest, n: r.N}
+		Accepted: r.Accepted, EndDigest: r.Digest, Behind: r.Behind, n: r.N}
 	r.merge(e)
 	e.End = &message.End{ID: id, State: r.state(), AfterMS: r.AfterMS, At: r.At, Tries: r.Tries}
 	return e
@@ -137,12 +139,12 @@
 
 func overOf(buf *bytes.Buffer, x *Ended) []byte {
 	return encode(buf, &stateRecord{N: x.n, Tries: x.Tries, End: endCode(x.State), AfterMS: x.AfterMS, At: x.Over, Digest: x.Digest,
-		Over: true, Until: x.Until, Accepted: x.Accepted, Class: x.Class, Partner: x.Partner, Tenant: x.Tenant})
+		Over: true, Until: x.Until, Accepted: x.Accepted, Class: x.Class, Partner: x.Partner, Tenant: x.Tenant, Behind: x.behind})
 }
 
 func (r *stateRecord) ended(id string) *Ended {
 	return &Ended{ID: id, Tenant: r.Tenant, Partner: r.Partner, Class: r.Class, State: r.state(), AfterMS: r.AfterMS,
-		Tries: r.Tries, Accepted: r.Accepted, Over: r.At, Digest: r.Digest, Until: r.Until, n: r.N}
+		Tries: r.Tries, Accepted: r.Accepted, Over: r.At, Digest: r.Digest, Until: r.Until, behind: r.Behind, n: r.N}
 }
 
 func decode(key string, value []byte, into any) error {
