--- /dev/null
+++ b/internal/backlog/spill/room_test.go
@@ -0,0 +1,40 @@
+package spill
+
+import (
+	"testing"
+
+	"cometrack/internal/backlog/disk"
+	"cometrack/internal/store"
+	"cometrack/internal/vfs"
+)
+
+// The files keep within their bound, an index block that is owed included, and messages that are not written yet count.
+func TestRoom(t *testing.T) {
+	fs := vfs.NewMem()
+	d, err := start(fs, store.SyncNever, begin, map[string]*life{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.close()
+	opts := testOptions
+	opts.Segment, opts.Disk, opts.Sync = 4096, 4096+2000, store.SyncNever
+	s, err := Open(room{fs, "b-"}, d.j, opts, func(any, <-chan struct{}) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if !s.Room(1400) || s.Room(1500) {
+		t.Errorf("room for 1400: %v, for 1500: %v", s.Room(1400), s.Room(1500))
+	}
+	m := messageOf(1)
+	s.Put(&disk.Record{Message: *m})
+	if s.Room(1400) || !s.Room(800) {
+		t.Errorf("beside one that is not written: room for 1400: %v, for 800: %v", s.Room(1400), s.Room(800))
+	}
+	if err := s.Commit(); err != nil {
+		t.Fatal(err)
+	}
+	if s.Room(1400) || !s.Room(800) {
+		t.Errorf("beside one that is written: room for 1400: %v, for 800: %v", s.Room(1400), s.Room(800))
+	}
+}
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -166,7 +166,7 @@
 				{Name: "unsafe", Aim: 2 * logic.Second, Deadline: 16 * logic.Second, Worth: 1, LateWorth: 0.4, Effect: logic.Unsafe}}}}
 }
 
-func newRig(t *testing.T, dir string, cfg Config) *rig {
+func newRig(t *testing.T, dir string, cfg Config, with ...func(*Parts)) *rig {
 	t.Helper()
 	j, err := journal.Open(dir, journal.Options{Disk: 3e6, KeepEnded: time.Hour, MostEnded: 100, Partners: cfg.Settings.Remember, Bodies: 100})
 	if err != nil {
@@ -174,7 +174,11 @@
 	}
 	r := &rig{t: t, hand: &hand{attempts: make(chan sent, 64), probes: make(chan logic.EndpointID, 1)}, store: &failing{Store: j, sick: map[string]bool{}},
 		ends: &ends{make(chan message.End, 64), make(chan string, 64)}, done: make(chan error, 1)}
-	r.Core, err = New(cfg, Parts{Store: r.store, Transport: r.hand, Source: still{}, Sink: r.ends, Log: slog.New(slog.DiscardHandler)})
+	parts := Parts{Store: r.store, Transport: r.hand, Source: still{}, Sink: r.ends, Log: slog.New(slog.DiscardHandler)}
+	for _, f := range with {
+		f(&parts)
+	}
+	r.Core, err = New(cfg, parts)
 	if err != nil {
 		t.Fatal(err)
 	}
