--- a/internal/backlog/spill/harness_test.go
+++ b/internal/backlog/spill/harness_test.go
@@ -296,7 +296,7 @@
 	for id := range d.lives {
 		if d.s.Has(id) {
 			found := false
-			d.s.Lookup(id, func(r *disk.Record) { behind[id], found = r != nil, true })
+			d.s.Lookup(id, func(r *disk.Record, _ error) { behind[id], found = r != nil, true })
 			for !found {
 				if _, err := d.take(<-d.events); err != nil {
 					t.Fatalf("%s: %v", what, err)
--- a/internal/backlog/spill/spill.go
+++ b/internal/backlog/spill/spill.go
@@ -82,7 +82,7 @@
 	foundEvent struct {
 		got  disk.Got
 		err  error
-		then func(*disk.Record)
+		then func(*disk.Record, error)
 	}
 )
 
@@ -163,6 +163,13 @@
 	}
 }
 
+// Discard drops the messages that were put behind their windows and not written.
+func (s *Spill) Discard() {
+	s.pending = nil
+	clear(s.places)
+	clear(s.keys)
+}
+
 // Room says whether a message with such a body is taken behind a window.
 func (s *Spill) Room(body int) bool {
 	more := int64(body + heads)
@@ -180,9 +187,7 @@
 	if len(list) == 0 {
 		return nil
 	}
-	s.pending = nil
-	clear(s.places)
-	clear(s.keys)
+	s.Discard()
 	first, begins := s.l.Begins()
 	entries, err := s.l.Append(list)
 	if err != nil {
@@ -216,8 +221,9 @@
 func (s *Spill) Has(id string) bool { return s.b.Len() > 0 && s.b.Find(disk.Hash(id)) != 0 }
 
 // Lookup reads the message of an id beside the caller, without its body. then is
-// called by [Spill.Take] with it, or with nil if none of that id is there.
-func (s *Spill) Lookup(id string, then func(*disk.Record)) {
+// called by [Spill.Take] with it, with nil if none of that id is there, or with an
+// error if that can't be told.
+func (s *Spill) Lookup(id string, then func(*disk.Record, error)) {
 	first, at, e, ok := s.b.Resolve(s.b.Find(disk.Hash(id)))
 	if !ok {
 		s.work.add(foundEvent{then: then})
@@ -269,7 +275,7 @@
 		if ev.err != nil {
 			s.log.Error("backlog: a message can't be looked up", "err", ev.err)
 		}
-		ev.then(ev.got.Record)
+		ev.then(ev.got.Record, ev.err)
 	}
 	return nil, 0, 0, true
 }
--- a/internal/backlog/spill/worker.go
+++ b/internal/backlog/spill/worker.go
@@ -43,7 +43,7 @@
 		at    uint32
 		entry *backlog.Entry
 		id    string
-		then  func(*disk.Record)
+		then  func(*disk.Record, error)
 	}
 )
 
--- a/internal/core/backlog.go
+++ b/internal/core/backlog.go
@@ -30,7 +30,8 @@
 	Enter(partner string)
 	Leave(partner string)
 	Has(id string) bool
-	Lookup(id string, then func(*disk.Record))
+	Lookup(id string, then func(*disk.Record, error))
+	Discard()
 	Take(event any) (in []spill.Came, first, count uint64, ok bool)
 	Back(list []spill.Came)
 	Over(at int64) (r *disk.Record, seq uint64, ok bool)
@@ -143,12 +144,17 @@
 	return true
 }
 
-// commitBehind writes what goes behind the windows with this step.
-func (c *Core) commitBehind() error {
+// commitBehind writes what goes behind the windows with this step, after the journal
+// has got what that refers to; err is what became of the journal.
+func (c *Core) commitBehind(err error) error {
 	if c.behind.Backlog == nil {
 		return nil
 	}
-	err := c.behind.Commit()
+	if err != nil {
+		c.behind.Discard()
+		return err
+	}
+	err = c.behind.Commit()
 	if err != nil {
 		c.log.Error("backlog", "err", err)
 	}
@@ -162,11 +168,13 @@
 		return false
 	}
 	c.behind.looks++
-	c.behind.Lookup(ev.msg.ID, func(r *disk.Record) {
+	c.behind.Lookup(ev.msg.ID, func(r *disk.Record, err error) {
 		c.behind.looks--
 		ev.sure = true
 		_, here := c.known(ev.msg.ID) // it may have come into its window meanwhile
 		switch {
+		case err != nil && !here:
+			ev.tell(Answer{Verdict: Busy})
 		case here || r == nil:
 			c.put(ev)
 		case r.Digest != ev.msg.Digest():
@@ -185,8 +193,11 @@
 		return false
 	}
 	c.behind.looks++
-	c.behind.Lookup(ask.id, func(r *disk.Record) {
+	c.behind.Lookup(ask.id, func(r *disk.Record, err error) {
 		c.behind.looks--
+		if err != nil { // it is held, and more can't be told
+			r = &disk.Record{Message: message.Message{ID: ask.id}}
+		}
 		ask.sure, ask.found = true, r
 		c.asks = append(c.asks, ask)
 	})
--- a/internal/core/backlog_test.go
+++ b/internal/core/backlog_test.go
@@ -238,6 +238,31 @@
 	r.halt()
 }
 
+// While it can't be read whether an id is behind a window, a message of it is turned away; it is never taken on twice.
+func TestLookupFailsBehindTheWindow(t *testing.T) {
+	fs := vfs.NewMem()
+	r := newRig(t, t.TempDir(), testConfig(), behindOf(fs)).run()
+	r.accepted(newMessage("a", "unsafe"), newMessage("b", "unsafe"))
+	a := r.next("a")
+	fs.FailAt(1, vfs.ErrCrashed)
+	if v := r.put(newMessage("b", "unsafe")).Verdict; v != Busy {
+		t.Errorf("while it can't be read: %v", v)
+	}
+	fs.FailAt(1, vfs.ErrCrashed)
+	if s := r.state("b"); s != StateAccepted {
+		t.Errorf("while it can't be read its state is %q", s)
+	}
+	if x := r.put(newMessage("b", "unsafe")); x.Verdict != Accepted || !x.Again {
+		t.Errorf("after that: %+v", x)
+	}
+	a.result <- Result{Outcome: logic.Completed}
+	r.next("b").result <- Result{Outcome: logic.Completed}
+	for range 2 {
+		r.ends.confirm <- byhand.Await(t, r.ends.told, "end").ID
+	}
+	r.halt()
+}
+
 // Many whose time is over at once are told in parts, and others are not held up.
 func TestManyEndsAtOnceBehindTheWindow(t *testing.T) {
 	cfg := testConfig()
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -39,8 +39,8 @@
 	if len(c.records) > 0 { // a write is due anyway
 		c.remember(rememberStep)
 	}
-	notBehind := c.commitBehind()
 	err := c.store.Append(c.records)
+	notBehind := c.commitBehind(err)
 	clear(c.records)
 	c.records = c.records[:0]
 	if err != nil {
