--- a/internal/core/backlog_test.go
+++ b/internal/core/backlog_test.go
@@ -49,6 +49,7 @@
 // What is behind the window is known, keeps its order, goes past no earlier one, and comes into the window one by one,
 // also over a restart and with large bodies.
 func TestBehindTheWindow(t *testing.T) {
+	t.Parallel()
 	dir, cfg, fs := t.TempDir(), testConfig(), vfs.NewMem()
 	r := newRig(t, dir, cfg, behindOf(fs)).run()
 	large := newMessage("c", "safe")
@@ -91,6 +92,7 @@
 
 // A message that can't be written when it comes into its window goes back and comes again, once.
 func TestComesAgainWhenTheJournalFails(t *testing.T) {
+	t.Parallel()
 	fs := vfs.NewMem()
 	var log trail
 	r := newRig(t, t.TempDir(), testConfig(), behindOf(fs), func(p *Parts) { p.Log = slog.New(slog.NewTextHandler(&log, nil)) }).run()
@@ -123,6 +125,7 @@
 
 // A message behind its window ends at its time, before it is over, and is remembered.
 func TestEndsBehindTheWindow(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, t.TempDir(), testConfig(), behindOf(vfs.NewMem())).run()
 	short := newMessage("b", "unsafe")
 	short.Deadline = time.Now().Add(500 * time.Millisecond).UnixMicro()
@@ -151,6 +154,7 @@
 
 // A message that is damaged behind its window is named and returned; the rest goes on.
 func TestDamagedBehindTheWindow(t *testing.T) {
+	t.Parallel()
 	fs := vfs.NewMem()
 	var log trail
 	r := newRig(t, t.TempDir(), testConfig(), behindOf(fs), func(p *Parts) { p.Log = slog.New(slog.NewTextHandler(&log, nil)) }).run()
@@ -183,6 +187,7 @@
 
 // A full disk behind the window turns away what would go there, and nothing else; with room again it is taken.
 func TestFullBehindTheWindow(t *testing.T) {
+	t.Parallel()
 	fs := vfs.NewMem()
 	cfg := testConfig()
 	cfg.Known.Endpoints = append(cfg.Known.Endpoints, Endpoint{Name: "e2", Addr: "h:2", Zone: "a", Kind: "std", Partner: "other", Weight: 1000})
@@ -212,6 +217,7 @@
 
 // Messages of one order key that wait are in one lane: one for another lane is turned away until they have gone.
 func TestOrderKeyBehindTheWindow(t *testing.T) {
+	t.Parallel()
 	cfg := testConfig()
 	cfg.Known.Endpoints = append(cfg.Known.Endpoints, Endpoint{Name: "e2", Addr: "h:2", Zone: "a", Kind: "std", Partner: "other", Weight: 1000})
 	cfg.Settings.Classes[0].KeepOrder = true
@@ -240,6 +246,7 @@
 
 // While it can't be read whether an id is behind a window, a message of it is turned away; it is never taken on twice.
 func TestLookupFailsBehindTheWindow(t *testing.T) {
+	t.Parallel()
 	fs := vfs.NewMem()
 	r := newRig(t, t.TempDir(), testConfig(), behindOf(fs)).run()
 	r.accepted(newMessage("a", "unsafe"), newMessage("b", "unsafe"))
@@ -265,6 +272,7 @@
 
 // Many whose time is over at once are told in parts, and others are not held up.
 func TestManyEndsAtOnceBehindTheWindow(t *testing.T) {
+	t.Parallel()
 	cfg := testConfig()
 	cfg.Settings.MaxOpen = 2000
 	r := newRig(t, t.TempDir(), cfg, behindOf(vfs.NewMem())).run()
