--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -21,7 +21,7 @@
 
 const (
 	defaultBatch = 64
-	defaultOut   = 4096
+	defaultOut   = 1024
 	// lowPart is the part of the window that has to be free before a read is worth it.
 	lowPart = 8
 	// Ahead is how long before its time is over a message's end is read, in
--- a/internal/backlog/disk/log.go
+++ b/internal/backlog/disk/log.go
@@ -27,7 +27,7 @@
 
 const (
 	minSegment = 1 << 20
-	maxSegment = 64 << 20
+	maxSegment = 32 << 20
 	segments   = 64 // of the limit
 	// mostEntries bounds what a segment without an index block takes in memory.
 	mostEntries = 64 << 10
--- a/internal/backlog/spill/spill.go
+++ b/internal/backlog/spill/spill.go
@@ -47,6 +47,7 @@
 	log     *slog.Logger
 	since   uint64 // numbers from here on were given by this process
 	pending []*disk.Record
+	bytes   int64                   // of pending, about
 	places  map[string]int          // of pending, by destination
 	keys    map[uint64]backlog.Lane // of pending, by order key
 	work    *worker
@@ -157,6 +158,7 @@
 // Put has a message that Place sends behind its window written by the next Commit.
 func (s *Spill) Put(r *disk.Record) {
 	s.pending = append(s.pending, r)
+	s.bytes += int64(len(r.Body) + heads)
 	s.places[r.Partner]++
 	if order := r.OrderHash(); order != 0 {
 		s.keys[order] = r.Lane()
@@ -165,18 +167,14 @@
 
 // Discard drops the messages that were put behind their windows and not written.
 func (s *Spill) Discard() {
-	s.pending = nil
+	s.pending, s.bytes = nil, 0
 	clear(s.places)
 	clear(s.keys)
 }
 
 // Room says whether a message with such a body is taken behind a window.
 func (s *Spill) Room(body int) bool {
-	more := int64(body + heads)
-	for _, r := range s.pending {
-		more += int64(len(r.Body) + heads)
-	}
-	return s.l.Room(more)
+	return s.l.Room(s.bytes + int64(body+heads))
 }
 
 // Commit writes the messages that were put behind their windows. Once it has
