Test that taking messages on behind a window reads nothing

Change: a test that counts the calls of the file system: one write for each step. Imports of the daemon's part in order.

--- a/internal/backlog/spill/room_test.go
+++ b/internal/backlog/spill/room_test.go
@@ -38,3 +38,26 @@
 		t.Errorf("beside one that is written: room for 1400: %v, for 800: %v", s.Room(1400), s.Room(800))
 	}
 }
+
+// Taking messages on behind a window reads nothing: each step is one write.
+func TestIntakeNeverReads(t *testing.T) {
+	fs := vfs.NewMem()
+	d, err := start(fs, store.SyncNever, begin, map[string]*life{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.close()
+	if err := d.put(0, 3, 6, 9, 12); err != nil { // the window of p0 is full, and a segment is begun
+		t.Fatal(err)
+	}
+	before := fs.Calls()
+	for i := range 4 { // of p0 too, within the segment
+		if err := d.put(15 + 3*i); err != nil {
+			t.Fatal(err)
+		}
+		d.s.Work(d.now)
+	}
+	if n := fs.Calls() - before; n != 4 || d.s.Len() != 6 {
+		t.Errorf("%d calls for 4 steps, %d behind", n, d.s.Len())
+	}
+}
--- a/internal/daemon/backlog.go
+++ b/internal/daemon/backlog.go
@@ -3,13 +3,12 @@
 import (
 	"errors"
 	"io/fs"
+	"log/slog"
 	"math"
 	"os"
 	"path/filepath"
 	"time"
 
-	"log/slog"
-
 	"cometrack/internal/backlog/disk"
 	"cometrack/internal/backlog/spill"
 	"cometrack/internal/config"
