--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -13,13 +13,15 @@
 // once it has ended, and "s" and its id for what became of it. Both carry n: a
 // state that another message of the same id has left is told by it. "w" and an
 // endpoint's name holds a wait, "p" and a partner's name what is known of it, "c" and
-// a number what messages were taken on under.
+// a number what messages were taken on under. "b" and a number says which of the
+// messages that were behind windows no longer are, see passed.go.
 const (
 	keyMessage = "m"
 	keyState   = "s"
 	keyWait    = "w"
 	keyPartner = "p"
 	keyTerms   = "c"
+	keyPassed  = "b"
 )
 
 // The records are CBOR maps with numbers as keys (RFC 8949): a reader skips keys
@@ -36,6 +38,7 @@
 	Order    string `cbor:"8,keyasint,omitempty"`
 	Body     []byte `cbor:"9,keyasint,omitempty"`
 	Terms    int64  `cbor:"10,keyasint,omitempty"` // the number of its terms; 0 in files of before 0.4
+	Behind   uint64 `cbor:"11,keyasint,omitempty"` // its number behind the window of its destination
 }
 
 type stateRecord struct {
@@ -57,6 +60,7 @@
 	Class    string `cbor:"15,keyasint,omitempty"`
 	Partner  string `cbor:"16,keyasint,omitempty"`
 	Tenant   string `cbor:"17,keyasint,omitempty"`
+	Behind   uint64 `cbor:"18,keyasint,omitempty"` // its number behind the window of its destination
 }
 
 type waitRecord struct {
@@ -94,12 +98,12 @@
 
 func messageOf(buf *bytes.Buffer, e *Entry) []byte {
 	return encode(buf, &messageRecord{N: e.n, Accepted: e.Accepted, Deadline: e.Deadline, Class: e.Class, Partner: e.Partner,
-		Tenant: e.Tenant, Key: e.Key, Order: e.Order, Body: e.Body, Terms: e.Terms})
+		Tenant: e.Tenant, Key: e.Key, Order: e.Order, Body: e.Body, Terms: e.Terms, Behind: e.Behind})
 }
 
 func (r *messageRecord) entry(id string) *Entry {
 	return &Entry{Message: message.Message{ID: id, Key: r.Key, Order: r.Order, Class: r.Class, Tenant: r.Tenant,
-		Partner: r.Partner, Deadline: r.Deadline, Body: r.Body}, Accepted: r.Accepted, Terms: r.Terms, n: r.N}
+		Partner: r.Partner, Deadline: r.Deadline, Body: r.Body}, Accepted: r.Accepted, Terms: r.Terms, Behind: r.Behind, n: r.N}
 }
 
 func stateOf(buf *bytes.Buffer, e *Entry) []byte {
@@ -107,6 +111,7 @@
 	if x := e.End; x != nil {
 		r.End, r.AfterMS, r.At, r.Digest = endCode(x.State), x.AfterMS, x.At, e.EndDigest
 		r.Accepted, r.Deadline, r.Class, r.Partner, r.Tenant = e.Accepted, e.Deadline, e.Class, e.Partner, e.Tenant
+		r.Behind = e.Behind
 	}
 	return encode(buf, &r)
 }
@@ -119,7 +124,7 @@
 // owed is the entry of a message that has ended and whose notice is owed.
 func (r *stateRecord) owed(id string) *Entry {
 	e := &Entry{Message: message.Message{ID: id, Class: r.Class, Tenant: r.Tenant, Partner: r.Partner, Deadline: r.Deadline},
-		Accepted: r.Accepted, EndDigest: r.Digest, n: r.N}
+		Accepted: r.Accepted, EndDigest: r.Digest, Behind: r.Behind, n: r.N}
 	r.merge(e)
 	e.End = &message.End{ID: id, State: r.state(), AfterMS: r.AfterMS, At: r.At, Tries: r.Tries}
 	return e
@@ -134,12 +139,12 @@
 
 func overOf(buf *bytes.Buffer, x *Ended) []byte {
 	return encode(buf, &stateRecord{N: x.n, Tries: x.Tries, End: endCode(x.State), AfterMS: x.AfterMS, At: x.Over, Digest: x.Digest,
-		Over: true, Until: x.Until, Accepted: x.Accepted, Class: x.Class, Partner: x.Partner, Tenant: x.Tenant})
+		Over: true, Until: x.Until, Accepted: x.Accepted, Class: x.Class, Partner: x.Partner, Tenant: x.Tenant, Behind: x.behind})
 }
 
 func (r *stateRecord) ended(id string) *Ended {
 	return &Ended{ID: id, Tenant: r.Tenant, Partner: r.Partner, Class: r.Class, State: r.state(), AfterMS: r.AfterMS,
-		Tries: r.Tries, Accepted: r.Accepted, Over: r.At, Digest: r.Digest, Until: r.Until, n: r.N}
+		Tries: r.Tries, Accepted: r.Accepted, Over: r.At, Digest: r.Digest, Until: r.Until, behind: r.Behind, n: r.N}
 }
 
 func decode(key string, value []byte, into any) error {
