--- a/cmd/measure/cluster.go
+++ b/cmd/measure/cluster.go
@@ -284,12 +284,14 @@
 						return fmt.Errorf("%d senders did not meet within %v", n, took)
 					}
 				}
-				before, sent := usage(f), f.Carried()
+				before := usage(f)
+				sent, bytes := f.Carried()
 				time.Sleep(10 * time.Second)
 				after := usage(f)
-				fmt.Printf("%d senders, %q: each %.2f%% of a core, %.1f MB (%.1f MB with its guard), %d descriptors; %d datagrams a second in all\n", n,
+				sentAfter, bytesAfter := f.Carried()
+				fmt.Printf("%d senders, %q: each %.2f%% of a core, %.1f MB (%.1f MB with its guard), %d descriptors; %d datagrams a second in all; each sends %.1f KB a second with 28 bytes of IP and UDP each\n", n,
 					strings.ReplaceAll(more, "\n", "; "), (after.cpu-before.cpu).Seconds()*10/float64(n), after.own/float64(n)/1024, after.all/float64(n)/1024,
-					after.files/n, (f.Carried()-sent)/10)
+					after.files/n, (sentAfter-sent)/10, float64(bytesAfter-bytes+28*(sentAfter-sent))/1000/10/float64(n))
 				return nil
 			})
 			if err != nil {
--- a/internal/lab/capacity/senders.go
+++ b/internal/lab/capacity/senders.go
@@ -67,12 +67,14 @@
 		return cpu, mb
 	}
 	cpu, _ := total()
-	sent, bytes, from := f.Carried(), f.CarriedBytes(), time.Now()
+	sent, bytes := f.Carried()
+	from := time.Now()
 	time.Sleep(4 * r.Span)
 	after, mb := total()
 	span, n := time.Since(from).Seconds(), float64(size)
-	datagrams := float64(f.Carried() - sent)
-	return []float64{(float64(f.CarriedBytes()-bytes) + heads*datagrams) / span / n, datagrams / span / n, 100 * (after - cpu).Seconds() / span / n, mb / n}, nil
+	sentAfter, bytesAfter := f.Carried()
+	datagrams := float64(sentAfter - sent)
+	return []float64{(float64(bytesAfter-bytes) + heads*datagrams) / span / n, datagrams / span / n, 100 * (after - cpu).Seconds() / span / n, mb / n}, nil
 }
 
 // children are the processes that one has started.
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -29,7 +29,8 @@
 	rng    *rand.Rand
 	resets int // grows with each order to reset streams
 
-	Carried, Lost int
+	Carried, Lost int // datagrams
+	Bytes         int // of those that were carried
 }
 
 func newLink(seed uint64, from, to int) *link {
@@ -60,8 +61,8 @@
 	return l.resets
 }
 
-// copies says after which spans a datagram comes; empty if it is lost.
-func (l *link) copies() []time.Duration {
+// copies says after which spans a datagram of a size comes; empty if it is lost.
+func (l *link) copies(size int) []time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f := l.faults
@@ -70,6 +71,7 @@
 		return nil
 	}
 	l.Carried++
+	l.Bytes += size
 	n := 1
 	if l.rng.Float64() < f.Double {
 		n = 2
@@ -87,18 +89,15 @@
 	return out
 }
 
-// Carried is how many datagrams have come through all links.
-func (f *Fleet) Carried() (n int) {
+// Carried is how many datagrams have come through all links, and their bytes without
+// those of IP and UDP.
+func (f *Fleet) Carried() (n, bytes int) {
 	for _, row := range f.net.links {
 		for _, l := range row {
 			l.mu.Lock()
-			n += l.Carried
+			n, bytes = n+l.Carried, bytes+l.Bytes
 			l.mu.Unlock()
 		}
 	}
-	return n
+	return n, bytes
 }
-
-// CarriedBytes is how many bytes the datagrams had that have come through all links,
-// without the heads of UDP and IP.
-func (f *Fleet) CarriedBytes() int64 { return f.net.bytes.Load() }
--- a/internal/standin/fleet/relay.go
+++ b/internal/standin/fleet/relay.go
@@ -37,7 +37,6 @@
 	bySrc  map[string]int
 	udpTo  []*net.UDPAddr
 	held   atomic.Int64
-	bytes  atomic.Int64 // of datagrams between senders that were not lost
 	done   chan struct{}
 	wg     sync.WaitGroup
 }
@@ -114,10 +113,7 @@
 		}
 		out, spans := r.udp, []time.Duration{0}
 		if i, ok := r.net.from(src); ok {
-			out, spans = r.net.relays[i].udp, r.net.links[i][r.who].copies()
-			if len(spans) > 0 {
-				r.net.bytes.Add(int64(size))
-			}
+			out, spans = r.net.relays[i].udp, r.net.links[i][r.who].copies(size)
 		}
 		for _, d := range spans {
 			if d == 0 {
