Take real fleets to 48 senders, where their growth turns straight

Cause: the step from 12 to 24 (power 1.17) said 1.8 MB a second at 560, as messages still grow with the roster there; virtual time said 1.0 MB.

Change: the bench of senders has 48 as its fifth size; the tables name the command of a slope whole, since not all slopes come from this one.

--- a/internal/lab/capacity/senders.go
+++ b/internal/lab/capacity/senders.go
@@ -21,7 +21,7 @@
 	q := func(name, measures, unit string, bound float64, why string) Quantity {
 		return Quantity{Slope: Slope{Name: "senders-" + name, Measures: measures, Unit: unit, Target: fleetSenders, Bound: bound, From: sendersFrom + "; " + why}}
 	}
-	return Bench{Name: "senders", Way: Processes, SizeOf: "senders that know of each other, calm", Sizes: []int{3, 6, 12, 24},
+	return Bench{Name: "senders", Way: Processes, SizeOf: "senders that know of each other, calm", Sizes: []int{3, 6, 12, 24, 48},
 		Quantities: []Quantity{
 			q("bytes", "sent by each in datagrams with their heads", "bytes a second", controlBytes, "14 KB a second for control"),
 			q("datagrams", "datagrams sent by each", "a second", 0, "no bound is given"),
--- a/internal/lab/capacity/table.go
+++ b/internal/lab/capacity/table.go
@@ -97,7 +97,7 @@
 		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Commit, b.Commit))
 	})
 	var b strings.Builder
-	b.WriteString("| slope, commit | measures, by size | way, flags of `bin/measure capacity` | sizes | medians | grows as | left out: said, measured, error |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	b.WriteString("| slope, commit | measures, by size | way, repeats, `bin/measure` with | sizes | medians | grows as | left out: said, measured, error |\n| --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, s := range list {
 		f := s.Fit()
 		var sizes, medians []string
@@ -124,8 +124,8 @@
 			left = fmt.Sprintf("%s, %s, %+.0f%%", number(f.Predicted), number(f.Measured), 100*f.Error)
 		}
 		repeats := len(s.Points[0].Values)
-		_, only, _ := strings.Cut(s.Command, "capacity ")
-		fmt.Fprintf(&b, "| `%s` %s | %s, by %s | %s, %d each, `%s` | %s | %s %s | %s | %s |\n", s.Name, s.Commit, s.Measures, s.SizeOf, s.Way, repeats, only,
+		how := strings.TrimPrefix(s.Command, "measure ")
+		fmt.Fprintf(&b, "| `%s` %s | %s, by %s | %s, %d each, `%s` | %s | %s %s | %s | %s |\n", s.Name, s.Commit, s.Measures, s.SizeOf, s.Way, repeats, how,
 			strings.Join(sizes, ", "), strings.Join(medians, ", "), s.Unit, power, left)
 	}
 	return b.String()
