Have the tests of hollow senders see the dead as gone and a dark zone as unproven

Two of nine mutations lived: a killed sender that stayed in the looks (its part runs out by itself), and a zone whose addresses refuse. The time line has to show a second with three of five, and a zone without power to be made up for over a second later than two whose addresses refuse.

--- a/internal/standin/hollow/hollow_test.go
+++ b/internal/standin/hollow/hollow_test.go
@@ -41,6 +41,9 @@
 	if k := r.Faults[0]; k.Lowest > 0.7 {
 		t.Errorf("two of five were killed, and the sum was %.3f at its lowest", k.Lowest)
 	}
+	if !slices.ContainsFunc(r.Timeline, func(x Row) bool { return x.Running == 3 }) {
+		t.Errorf("two of five were killed for over a second, and the time line has no second with three: %+v", r.Timeline)
+	}
 	if x := r.Rates; x.Out < 20 || x.Lore <= 0 || x.BytesOut <= x.Lore || x.BytesIn <= 0 {
 		t.Errorf("rates %+v", x)
 	}
@@ -94,7 +97,9 @@
 	if len(r.Faults) != len(Faults) {
 		t.Fatalf("%d faults were played", len(r.Faults))
 	}
+	again := map[Fault]float64{}
 	for _, f := range r.Faults {
+		again[f.Fault] = f.Again
 		if f.Fault == Killed && (f.Sides[1] != 0 || f.Sides[0] < Floor) {
 			t.Errorf("%+v", f)
 		}
@@ -102,6 +107,9 @@
 			t.Errorf("%+v", f)
 		}
 	}
+	if again[Zone] < again[Killed]+1 { // there nothing proves that they have ended
+		t.Errorf("a zone without power was made up for after %v s, two whose addresses refuse after %v s", again[Zone], again[Killed])
+	}
 }
 
 // The shares of the target, at the sizes that are played.
