Go over what is held only when something may be forgotten: p99 of others no longer grows

Change: only while an endpoint has long been off the list or a partner has none, and then each 15 s. Tests of core pass; TestDirectorySparesNothing.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -114,6 +114,7 @@
 	start    time.Time
 	held     map[string]*held
 	open     int           // of held, those not over
+	sparedAt time.Time     // when what nothing refers to was last dropped
 	behind   behind        // what the module does not have
 	next     []logic.Event // for the next step
 	puts     []putEvent
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -438,3 +438,22 @@
 		t.Errorf("%+v", end)
 	}
 }
+
+// While every partner has endpoints and none has long been gone, nothing that is held has to be looked at each second.
+func TestDirectorySparesNothing(t *testing.T) {
+	d, now := newDirectory(nil, nil), time.Now()
+	d.take(List{Whole: true, Endpoints: []Endpoint{{Name: "a", Partner: "p"}, {Name: "b", Partner: "q"}}})
+	if d.spare(now) {
+		t.Error("all are listed")
+	}
+	d.take(List{Endpoints: []Endpoint{{Name: "a", Partner: "p", State: logic.Gone}}})
+	gone := d.spare(now.Add(keepGone / 2))
+	long := d.spare(now.Add(2 * keepGone))
+	if gone || !long {
+		t.Errorf("off the list for half a minute: %v, for two: %v", gone, long)
+	}
+	d.forget(now.Add(2*keepGone), nil, nil)
+	if !d.spare(now) {
+		t.Error("a partner without endpoints can be forgotten")
+	}
+}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -81,6 +81,22 @@
 	return d.kinds[i].Name
 }
 
+// spare says that forget needs to know what is in use: an endpoint has long been off
+// the list, or a partner has none.
+func (d *directory) spare(now time.Time) bool {
+	for _, to := range d.eps {
+		if !to.gone.IsZero() && now.Sub(to.gone) > keepGone {
+			return true
+		}
+	}
+	for _, p := range d.partners {
+		if p.eps == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // forget drops endpoints that have long been off the list and partners that have
 // long had nothing, but for those in use.
 func (d *directory) forget(now time.Time, calls map[logic.EndpointID]bool, messages map[string]bool) {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -123,6 +123,25 @@
 	clear(c.records)
 	c.records = c.records[:0]
 	c.store.Forget(now)
+	if c.dir.spare(now) {
+		c.forgetSpare(now)
+	} else {
+		c.dir.forget(now, nil, nil)
+	}
+	c.listed(now)
+	for id := range c.marks {
+		if _, ok := c.dir.eps[id]; !ok {
+			delete(c.marks, id)
+		}
+	}
+}
+
+// forgetSpare drops what nothing that is held refers to. It goes over all that is, so not often.
+func (c *Core) forgetSpare(now time.Time) {
+	if now.Sub(c.sparedAt) < keepGone/4 {
+		return
+	}
+	c.sparedAt = now
 	calls, partners := map[logic.EndpointID]bool{}, map[string]bool{}
 	for _, h := range c.held {
 		partners[h.msg.Partner] = true
@@ -131,12 +150,6 @@
 		}
 	}
 	c.dir.forget(now, calls, partners)
-	c.listed(now)
-	for id := range c.marks {
-		if _, ok := c.dir.eps[id]; !ok {
-			delete(c.marks, id)
-		}
-	}
 }
 
 // resume hands the module what the store holds, with what became of it so far, and
