--- a/internal/lab/capacity/process.go
+++ b/internal/lab/capacity/process.go
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	d := &daemon{bin: bin, dir: dir, config: filepath.Join(dir, "config.toml")}
-	if err := d.write(text); err == nil {
+	if err = d.write(text); err == nil {
 		err = d.again()
 	}
 	if err != nil {
--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -52,7 +52,6 @@
 	msgs     map[string]*coldMsg
 	memories map[int64]Recall
 	rows     []Entry // as last heard of
-	newsAt   float64
 }
 
 type coldMsg struct {
