Hold the address of a partner that is out while a backlog is measured

Cause: a run with ten million let its partner's address go; a partner of TestBothPortsThroughKills beside it came by the same one, got 893 calls a second of the held million, and the test failed (8,514 windows over its rate; the rate at which measure backlog's partner is served; the run had stopped at a million at that minute). Change: the address is bound and refuses until it is listened on.

--- a/cmd/measure/backlog.go
+++ b/cmd/measure/backlog.go
@@ -116,12 +116,11 @@
 		}
 		r.mu.Unlock()
 	}))
-	hole, err := net.Listen("tcp", "127.0.0.1:0")
+	out, err := reserve()
 	if err != nil {
 		return err
 	}
-	r.out = hole.Addr().String()
-	hole.Close()
+	r.out = out.addr
 	rate := ""
 	if r.rate > 0 {
 		rate = fmt.Sprintf("rate = %d\n", r.rate)
@@ -180,7 +179,7 @@
 	if err := r.restart(); err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", r.out)
+	ln, err := out.listen()
 	if err != nil {
 		return err
 	}
