--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -73,12 +73,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return launchProgram(t, path, p, dir, known, listen)
+}
+
+// launchProgram is launchProcess for a given build of the program, with variables beside those of the platform.
+func launchProgram(t *testing.T, path string, p *discovery.Platform, dir string, known platform.List, listen string, env ...string) *process {
+	t.Helper()
 	config := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(config, configText(p, known), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	x, err := program.Launch(path, []string{"BALANCER_NAME=n0", "BALANCER_LISTEN=" + listen,
-		"BALANCER_DISCOVERY=" + strings.TrimPrefix(p.Srv.URL, "http://"), "BALANCER_STATE=" + dir, "BALANCER_CONFIG=" + config})
+	x, err := program.Launch(path, append([]string{"BALANCER_NAME=n0", "BALANCER_LISTEN=" + listen,
+		"BALANCER_DISCOVERY=" + strings.TrimPrefix(p.Srv.URL, "http://"), "BALANCER_STATE=" + dir, "BALANCER_CONFIG=" + config}, env...))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/standin/faultbuild/faultbuild_test.go
@@ -0,0 +1,34 @@
+package faultbuild
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// The tool chain at hand has each piece that is patched.
+func TestOverlayFitsTheToolChain(t *testing.T) {
+	path, err := writeOverlay(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(path); err != nil {
+		t.Error(err)
+	}
+}
+
+// What is set is what a process reads, and counts begin at 0.
+func TestControlsStartWithoutFaults(t *testing.T) {
+	c, err := NewControls(filepath.Join(t.TempDir(), "page"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if c.Counts() != (Counts{}) || c.get(fieldHoldProbability) != 0 {
+		t.Errorf("counts %+v of a new page", c.Counts())
+	}
+	c.SetHolds(0.5)
+	if got := c.get(fieldHoldProbability); got != 1<<31 {
+		t.Errorf("probability %d, want a half of 2^32", got)
+	}
+}
--- /dev/null
+++ b/internal/standin/faultbuild/overlay.go
@@ -0,0 +1,211 @@
+package faultbuild
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// patch replaces one piece of a file of the standard library, which must be there
+// exactly once.
+type patch struct {
+	file     string // below GOROOT/src
+	old, new string
+}
+
+// patches put the calls of the hooks in hooksSource into the standard library.
+var patches = []patch{
+	{"time/time.go", "	sec, nsec, mono := runtimeNow()\n	if mono == 0 {\n		return Time{uint64(nsec), sec + unixToInternal, Local}",
+		"	sec, nsec, mono := runtimeNow()\n	sec += syscall.FaultWallSeconds()\n	syscall.FaultHold()\n	if mono == 0 {\n		return Time{uint64(nsec), sec + unixToInternal, Local}"},
+	{"time/time.go", "		return subMono(runtimeNano()-startNano, t.ext)",
+		"		elapsed := subMono(runtimeNano()-startNano, t.ext)\n		syscall.FaultHold()\n		return elapsed"},
+	{"time/time.go", "		return subMono(t.ext, runtimeNano()-startNano)",
+		"		left := subMono(t.ext, runtimeNano()-startNano)\n		syscall.FaultHold()\n		return left"},
+	{"time/time.go", "import (\n", "import (\n	\"syscall\"\n"},
+	{"internal/poll/fd_unix.go", "		s, rsa, errcall, err := accept(fd.Sysfd)\n",
+		"		if errno := syscall.FaultAccept(); errno != 0 {\n			if errno == syscall.ECONNABORTED || errno == syscall.EINTR {\n				continue\n			}\n			return -1, nil, \"accept4\", errno\n		}\n		s, rsa, errcall, err := accept(fd.Sysfd)\n"},
+	{"internal/poll/fd_unix.go", "	defer fd.decref()\n	var nn int\n	for {\n		max := len(p)\n		if fd.IsStream && max-nn > maxRW {\n			max = nn + maxRW\n		}\n		n, err := syscall.Pwrite(",
+		"	defer fd.decref()\n	if errno := syscall.FaultWrite(); errno != 0 {\n		n, _ := syscall.Pwrite(fd.Sysfd, p[:len(p)/2], off)\n		return n, errno\n	}\n	var nn int\n	for {\n		max := len(p)\n		if fd.IsStream && max-nn > maxRW {\n			max = nn + maxRW\n		}\n		n, err := syscall.Pwrite("},
+	{"internal/poll/fd_unix.go", "		n, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])\n",
+		"		syscall.FaultHoldWrite()\n		n, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])\n"},
+	{"internal/poll/fd_fsync_posix.go", "	return ignoringEINTR(func() error {\n",
+		"	if errno := syscall.FaultSync(); errno != 0 {\n		return errno\n	}\n	return ignoringEINTR(func() error {\n"},
+	{"syscall/syscall_unix.go", "func Connect(fd int, sa Sockaddr) (err error) {\n",
+		"func Connect(fd int, sa Sockaddr) (err error) {\n	if errno := FaultConnect(); errno != 0 {\n		return errno\n	}\n"},
+}
+
+const hooksFile = "syscall/fault_hooks.go"
+
+// hooksSource joins package syscall, which all the patched packages import.
+const hooksSource = `package syscall
+
+import (
+	"sync/atomic"
+	"unsafe"
+)
+
+// The page of controls; nil while no variable names one. Its fields are those of
+// package faultbuild.
+var faultPage *[` + pageFieldsText + `]int64
+
+var faultRandom atomic.Uint64
+
+func init() {
+	path, ok := Getenv("` + Variable + `")
+	if !ok {
+		return
+	}
+	fd, err := Open(path, O_RDWR|O_CLOEXEC, 0)
+	if err != nil {
+		panic("faultbuild: the page of controls can't be opened")
+	}
+	b, err := Mmap(fd, 0, ` + pageBytesText + `, PROT_READ|PROT_WRITE, MAP_SHARED)
+	if err != nil {
+		panic("faultbuild: the page of controls can't be mapped")
+	}
+	Close(fd)
+	faultPage = (*[` + pageFieldsText + `]int64)(unsafe.Pointer(&b[0]))
+	faultRandom.Store(uint64(Getpid())*0x9e3779b97f4a7c15 | 1)
+}
+
+func faultField(i int) int64 {
+	if faultPage == nil {
+		return 0
+	}
+	return atomic.LoadInt64(&faultPage[i])
+}
+
+// faultDraw says whether a fault of a probability, in parts of 2^32, comes now, and counts it.
+func faultDraw(probability, count int) bool {
+	p := faultField(probability)
+	if p == 0 {
+		return false
+	}
+	x := faultRandom.Add(0x9e3779b97f4a7c15)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	if int64((x^x>>31)>>32) >= p {
+		return false
+	}
+	atomic.AddInt64(&faultPage[count], 1)
+	return true
+}
+
+// FaultWallSeconds is how far the wall clock is off.
+func FaultWallSeconds() int64 { return faultField(0) }
+
+// faultStop stops the process by a signal to this thread: it takes effect before the
+// call returns, and one to the process may be taken by another thread somewhat later.
+func faultStop() {
+	thread, _, _ := RawSyscall(SYS_GETTID, 0, 0, 0)
+	RawSyscall(SYS_TGKILL, uintptr(Getpid()), thread, uintptr(SIGSTOP))
+}
+
+// FaultHold stops the whole process until somebody sends it SIGCONT.
+func FaultHold() {
+	if faultDraw(1, 2) {
+		faultStop()
+	}
+}
+
+// FaultHoldWrite does the same between the last reading of the clock and a write.
+func FaultHoldWrite() {
+	if faultDraw(15, 2) {
+		faultStop()
+	}
+}
+
+// FaultAccept, FaultWrite, FaultSync and FaultConnect tell the error of a call; 0 for none.
+func FaultAccept() Errno {
+	if faultDraw(3, 5) {
+		return Errno(faultField(4))
+	}
+	return 0
+}
+
+func FaultWrite() Errno {
+	if faultDraw(6, 8) {
+		return Errno(faultField(7))
+	}
+	return 0
+}
+
+func FaultSync() Errno {
+	if faultDraw(9, 11) {
+		return Errno(faultField(10))
+	}
+	return 0
+}
+
+func FaultConnect() Errno {
+	if faultDraw(12, 14) {
+		return Errno(faultField(13))
+	}
+	return 0
+}
+`
+
+// Build builds a package of this module, such as ./cmd/cometrack, to path. The
+// working directory must be within the module.
+func Build(path, pkg string, tags ...string) error {
+	dir, err := os.MkdirTemp("", "faultbuild")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	overlay, err := writeOverlay(dir)
+	if err != nil {
+		return err
+	}
+	args := []string{"build", "-overlay", overlay, "-o", path}
+	if len(tags) > 0 {
+		args = append(args, "-tags", strings.Join(tags, ","))
+	}
+	out, err := exec.Command("go", append(args, pkg)...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build %s: %w\n%s", pkg, err, out)
+	}
+	return nil
+}
+
+// writeOverlay writes the patched copies below dir, and the file that names them for
+// the compiler.
+func writeOverlay(dir string) (path string, err error) {
+	out, err := exec.Command("go", "env", "GOROOT").Output()
+	if err != nil {
+		return "", fmt.Errorf("go env GOROOT: %w", err)
+	}
+	source := filepath.Join(strings.TrimSpace(string(out)), "src")
+	texts := map[string]string{hooksFile: hooksSource}
+	for _, p := range patches {
+		text, ok := texts[p.file]
+		if !ok {
+			b, err := os.ReadFile(filepath.Join(source, p.file))
+			if err != nil {
+				return "", err
+			}
+			text = string(b)
+		}
+		if n := strings.Count(text, p.old); n != 1 {
+			return "", fmt.Errorf("%s: the piece to patch is there %d times, and was to be there once: this tool chain is not known\n%s", p.file, n, p.old)
+		}
+		texts[p.file] = strings.Replace(text, p.old, p.new, 1)
+	}
+	replace := map[string]string{}
+	for name, text := range texts {
+		file := filepath.Join(dir, strings.ReplaceAll(name, "/", "_"))
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			return "", err
+		}
+		replace[filepath.Join(source, name)] = file
+	}
+	b, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(dir, "overlay.json")
+	return path, os.WriteFile(path, b, 0o600)
+}
