--- /dev/null
+++ b/cmd/measure/soak.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"cometrack/internal/soak"
+	"cometrack/internal/standin/faultbuild"
+)
+
+// soaks plays runs of the soak test: the real program as a fleet of processes, under
+// faults drawn from seeds.
+func soaks(args []string) error {
+	flags := flag.NewFlagSet("soak", flag.ExitOnError)
+	seed := flags.Uint64("seed", 1, "of the first run")
+	seeds := flags.Int("seeds", 1, "how many runs, each with the next seed")
+	senders := flags.Int("senders", 24, "processes of the program")
+	length := flags.Duration("length", 12*time.Second, "for which faults come")
+	faults := flags.String("faults", "", "kinds of faults to draw from, separated by commas; empty for all")
+	dir := flags.String("dir", "", "for logs and folders, which are kept; empty for a temporary one")
+	binary := flags.String("bin", "", "a program built by package faultbuild; empty to build it")
+	verbose := flags.Bool("v", false, "print the script of each run")
+	flags.Parse(args)
+	top, err := workDir(*dir)
+	if err != nil {
+		return err
+	}
+	if *dir == "" {
+		defer os.RemoveAll(top)
+	}
+	path := *binary
+	if path == "" {
+		path = filepath.Join(top, "cometrack")
+		if err := faultbuild.Build(path, "./cmd/cometrack"); err != nil {
+			return err
+		}
+	}
+	failed := 0
+	for i := range *seeds {
+		o := soak.Options{Seed: *seed + uint64(i), Senders: *senders, Length: *length, Binary: path, Dir: filepath.Join(top, fmt.Sprint("seed-", *seed+uint64(i)))}
+		if *faults != "" {
+			o.Faults = strings.Split(*faults, ",")
+		}
+		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+			return err
+		}
+		r, err := soak.Run(o)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", o.Seed, err)
+		}
+		fmt.Println(r.Line(o.Seed))
+		if *verbose || len(r.Violations) > 0 {
+			fmt.Println("  " + strings.Join(r.Script, "\n  "))
+		}
+		for _, v := range r.Violations {
+			fmt.Println("  violation:", v)
+		}
+		if len(r.Violations) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d runs broke an invariant", failed, *seeds)
+	}
+	return nil
+}
+
+func workDir(dir string) (string, error) {
+	if dir == "" {
+		return os.MkdirTemp("", "soak")
+	}
+	return dir, os.MkdirAll(dir, 0o700)
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,227 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"cometrack/internal/standin/faultbuild"
+	"cometrack/internal/standin/program"
+)
+
+const (
+	killAfter  = 3700 * time.Millisecond // SIGTERM to SIGKILL, at the earliest
+	startAfter = 600 * time.Millisecond  // SIGKILL to the next start
+	readyMost  = 10 * time.Second        // from the start until ready
+	longStall  = 150 * time.Millisecond  // that a process may be held up
+)
+
+// sender is one process of the program, over its restarts.
+type sender struct {
+	number   int
+	addr     string
+	dir      string
+	config   string
+	binary   string
+	platform *platform
+	controls *faultbuild.Controls
+	records  *Records
+	logs     *logFile
+
+	life sync.Mutex // held while it is being restarted
+	mu   sync.Mutex
+	proc *program.Program
+	stop chan struct{} // of what resumes it
+	done chan struct{}
+}
+
+// settings are those of a sender's deployment. The window for repeats is short.
+const settings = `{"balancers":%d,"me":%d,"zone":0,"zones":["a","b"],"tick_s":0.005,"membership_mode":%q,
+"weights":"nominal","over_share_worth":0.2,"machine_types":["std"],
+"classes":[
+{"name":"safe","aim_s":1,"deadline_s":5,"worth":1,"late_worth":0.4,"idempotency":"retryable","group":"all","window_s":2},
+{"name":"keyed","aim_s":1,"deadline_s":5,"worth":1,"late_worth":0.4,"idempotency":"dedup","group":"all","window_s":%g},
+{"name":"unsafe","aim_s":1,"deadline_s":5,"worth":1,"late_worth":0.4,"idempotency":"fragile","group":"all","window_s":2}],
+"tenants":[{"name":"acme","quota_rps":1000}],
+"limits":{"conn_idle_s":4,"connect_timeout_s":1.5,"max_attempts":4,"max_open":120,"max_retry_after_s":1,"multiplex":1,
+"may_cancel":true,"probing":true,"retry_after":true,"second_copies":false},
+"load_info":{"how":"off","names":[]},
+"rules":{"ask_every_s":0.4,"cold_from":0.2,"drain_grace_s":2,"fall_multiple":2,"fall_s":3,"warm_after_s":4},
+"specifics":{"batch_by_kind":[1],"call_slots":16,"late":"halves","separate_routes":[false]}}`
+
+// repeatWindow is the time for which keyed repeats are recognized.
+const repeatWindow = 2 * time.Second
+
+// writeConfig writes the sender's configuration, as it is now.
+func (s *sender) writeConfig(senders int, pushed bool) error {
+	mode := "on_request"
+	if pushed {
+		mode = "pushed"
+	}
+	b, err := json.Marshal(map[string]any{"name": fmt.Sprint("n", s.number), "listen": s.addr, "discovery": s.platform.addr(), "seed": fmt.Sprintf("%x", rand.Uint64()),
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 256, "disk_mb": 3}, "known": s.platform.known(),
+		"settings": json.RawMessage(fmt.Sprintf(settings, senders, s.number, mode, repeatWindow.Seconds()))})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(s.config+".new", b, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(s.config+".new", s.config)
+}
+
+// launch starts the process. It does not wait until it is ready.
+func (s *sender) launch() error {
+	p, err := program.Launch(s.binary, []string{fmt.Sprint("BALANCER_NAME=n", s.number), "BALANCER_LISTEN=" + s.addr, "BALANCER_DISCOVERY=" + s.platform.addr(),
+		"BALANCER_STATE=" + s.dir, "BALANCER_CONFIG=" + s.config, "COMETRACK_LOG=debug", s.controls.Env()})
+	if err != nil {
+		return err
+	}
+	stop, done := make(chan struct{}), make(chan struct{})
+	rng := rand.New(rand.NewPCG(uint64(p.Cmd.Process.Pid), 0))
+	go func() {
+		defer close(done)
+		var from time.Time
+		faultbuild.Resume(p.Cmd.Process.Pid, func() time.Duration {
+			from = time.Now()
+			d := longStall/3 + time.Duration(rng.Int64N(int64(longStall*2/3)))
+			s.records.stalled(s.number, from.Add(-5*time.Millisecond), from.Add(d+5*time.Millisecond))
+			return d
+		}, stop)
+	}()
+	go s.follow(p)
+	s.mu.Lock()
+	s.proc, s.stop, s.done = p, stop, done
+	s.mu.Unlock()
+	return nil
+}
+
+// follow keeps the log of a process and looks for what must not stand in it.
+func (s *sender) follow(p *program.Program) {
+	for line := range p.Said {
+		s.logs.write(line)
+		for _, bad := range []string{"msg=violation", "panic:", "fatal error:", "DATA RACE"} {
+			if strings.Contains(line, bad) {
+				s.records.fault("sender %d says: %s", s.number, line)
+			}
+		}
+	}
+}
+
+func (s *sender) process() *program.Program {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proc
+}
+
+func (s *sender) signal(x syscall.Signal) { s.process().Signal(x) }
+
+// ended says whether the process ends within a time.
+func (s *sender) ended(within time.Duration) bool {
+	p := s.process()
+	select {
+	case err := <-p.Done:
+		p.Done <- err
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// kill ends the process with SIGKILL and waits until it is gone.
+func (s *sender) kill() {
+	p := s.process()
+	s.records.killed(s.number, time.Now())
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGKILL)
+	s.ended(program.Patience)
+	close(s.stop)
+	<-s.done
+}
+
+// restart takes the process through a planned or unplanned restart: with SIGTERM and, at
+// the page's earliest, SIGKILL, or with SIGKILL alone, again and again right after starts.
+func (s *sender) restart(planned bool, again []time.Duration, between func()) error {
+	s.life.Lock()
+	defer s.life.Unlock()
+	from := time.Now()
+	if planned {
+		s.signal(syscall.SIGTERM)
+		if s.ended(killAfter) {
+			if err := s.exitStatus(); err != nil {
+				s.records.fault("sender %d: ended with %v after SIGTERM", s.number, err)
+			}
+			time.Sleep(time.Until(from.Add(killAfter)))
+		}
+	}
+	s.kill()
+	s.records.restarts(s.number)
+	for _, life := range again {
+		time.Sleep(startAfter)
+		if err := s.launch(); err != nil {
+			return err
+		}
+		time.Sleep(life)
+		s.kill()
+		s.records.restarts(s.number)
+	}
+	if between != nil {
+		between()
+	}
+	time.Sleep(startAfter)
+	started := time.Now()
+	if err := s.launch(); err != nil {
+		return err
+	}
+	if err := s.process().Ready(); err != nil {
+		s.records.fault("sender %d: %v", s.number, err)
+		return err
+	}
+	if took := time.Since(started); took > readyMost {
+		s.records.fault("sender %d: ready after %v", s.number, took)
+	}
+	s.records.outage(s.number, from, time.Now())
+	return nil
+}
+
+// exitStatus is how the process ended.
+func (s *sender) exitStatus() error {
+	p := s.process()
+	err := <-p.Done
+	p.Done <- err
+	return err
+}
+
+// freeAddress is a loopback address that nobody listens at.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// logFile takes the log of a sender over its restarts.
+type logFile struct {
+	mu sync.Mutex
+	f  *os.File
+}
+
+func newLogFile(dir string, number int) (*logFile, error) {
+	f, err := os.Create(filepath.Join(dir, fmt.Sprintf("n%d.log", number)))
+	return &logFile{f: f}, err
+}
+
+func (l *logFile) write(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintln(l.f, line)
+}
--- /dev/null
+++ b/internal/soak/script.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// Options set a run up.
+type Options struct {
+	Seed    uint64
+	Senders int
+	Length  time.Duration // for which faults come
+	Binary  string        // built by package faultbuild
+	Dir     string        // for folders of the senders and their logs
+	Faults  []string      // kinds to draw from; empty for all
+}
+
+// step is one fault of a script.
+type step struct {
+	at   time.Duration
+	text string
+	run  func()
+}
+
+// kindsOfFault are the faults that a script draws from.
+var kindsOfFault = []string{"endpoint", "connections", "discovery", "notices", "restart", "kill series", "reload", "clock", "disk", "accept", "connect", "stall", "drain"}
+
+// script draws the faults of a run.
+func (f *fleet) script(o Options) []step {
+	rng := rand.New(rand.NewPCG(o.Seed, 1))
+	kinds := o.Faults
+	if len(kinds) == 0 {
+		kinds = kindsOfFault
+	}
+	var out []step
+	at := func() time.Duration { return time.Duration(rng.Int64N(int64(o.Length))) }
+	for _, kind := range kinds {
+		for range f.howMany(kind, rng) {
+			out = append(out, f.draw(kind, at(), rng, o)...)
+		}
+	}
+	return out
+}
+
+// howMany faults of a kind come in a run.
+func (f *fleet) howMany(kind string, rng *rand.Rand) int {
+	switch kind {
+	case "endpoint":
+		return 2 * len(f.endpoints)
+	case "restart", "kill series":
+		return len(f.senders)/2 + rng.IntN(len(f.senders)/2+1)
+	case "discovery", "notices":
+		return 1 + rng.IntN(2)
+	case "connections", "drain":
+		return 2 + rng.IntN(len(f.endpoints))
+	case "clock":
+		return len(f.senders)
+	}
+	return len(f.senders)/3 + 1
+}
+
+func (f *fleet) draw(kind string, at time.Duration, rng *rand.Rand, o Options) []step {
+	s := f.senders[rng.IntN(len(f.senders))]
+	e := f.endpoints[rng.IntN(len(f.endpoints))]
+	length := time.Duration(500+rng.IntN(4500)) * time.Millisecond
+	during := func(text string, begin, end func()) []step {
+		return []step{{at, fmt.Sprintf("%s, for %v", text, length), begin}, {at + length, text + " ends", end}}
+	}
+	switch kind {
+	case "endpoint":
+		b := behavior(1 + rng.IntN(int(behaviors)-1))
+		return during(fmt.Sprintf("endpoint %s is %v", e.name, b), func() { e.set(b) }, func() { e.set(well) })
+	case "connections":
+		reset := rng.IntN(2) == 0
+		return []step{{at, fmt.Sprintf("connections to %s end, by reset %v", e.name, reset), func() { e.dropIdle(reset) }}}
+	case "discovery":
+		switch rng.IntN(3) {
+		case 0:
+			return during("discovery is away", func() { f.platform.change(func() { f.platform.away = true }) }, func() { f.platform.change(func() { f.platform.away = false }) })
+		case 1:
+			return during("discovery is silent", func() { f.platform.change(func() { f.platform.silent = true }) }, func() { f.platform.change(func() { f.platform.silent = false }) })
+		}
+		return during("discovery is slow", func() { f.platform.change(func() { f.platform.delay = 700 * time.Millisecond }) }, func() { f.platform.change(func() { f.platform.delay = 0 }) })
+	case "notices":
+		length = min(length, 150*time.Millisecond)
+		return during("answers to notices get lost", func() { f.platform.change(func() { f.platform.mute = true }) }, func() { f.platform.change(func() { f.platform.mute = false }) })
+	case "restart":
+		off := f.clockStep(rng)
+		return []step{{at, fmt.Sprintf("sender %d is told to end, killed at %v, wall clock off by %v at the start", s.number, killAfter, off), func() {
+			f.async(func() error { return s.restart(true, nil, func() { s.controls.SetWall(off) }) })
+		}}}
+	case "kill series":
+		var lives []time.Duration
+		for range rng.IntN(3) {
+			lives = append(lives, time.Duration(rng.IntN(120))*time.Millisecond)
+		}
+		off := f.clockStep(rng)
+		return []step{{at, fmt.Sprintf("sender %d is killed, and again %v after starts, wall clock off by %v at the last", s.number, lives, off), func() {
+			f.async(func() error { return s.restart(false, lives, func() { s.controls.SetWall(off) }) })
+		}}}
+	case "reload":
+		also := rng.IntN(4) == 0
+		steps := []step{{at, fmt.Sprintf("sender %d gets SIGHUP", s.number), func() { f.reload(s) }}}
+		if also {
+			steps = append(steps, step{at + 2*time.Millisecond, fmt.Sprintf("sender %d is told to end in the middle of that", s.number), func() {
+				f.async(func() error { return s.restart(true, nil, nil) })
+			}})
+		}
+		return steps
+	case "clock":
+		off := f.clockStep(rng)
+		return []step{{at, fmt.Sprintf("wall clock of sender %d is off by %v", s.number, off), func() { s.controls.SetWall(off) }}}
+	case "disk":
+		length = min(length, 3*time.Second)
+		return during(fmt.Sprintf("disk of sender %d fails", s.number), func() {
+			s.controls.SetWrites(0.7, syscall.ENOSPC)
+			s.controls.SetSyncs(0.7, syscall.EIO)
+		}, func() {
+			s.controls.SetWrites(0, 0)
+			s.controls.SetSyncs(0, 0)
+		})
+	case "accept":
+		errno := []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EINTR}[rng.IntN(4)]
+		return during(fmt.Sprintf("accepts of sender %d fail with %v", s.number, errno), func() { s.controls.SetAccepts(0.3, errno) }, func() { s.controls.SetAccepts(0, 0) })
+	case "connect":
+		errno := []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS, syscall.EHOSTUNREACH}[rng.IntN(4)]
+		return during(fmt.Sprintf("connects of sender %d fail with %v", s.number, errno), func() { s.controls.SetConnects(0.3, errno) }, func() { s.controls.SetConnects(0, 0) })
+	case "stall":
+		return during(fmt.Sprintf("sender %d is held up before writes", s.number), func() { s.controls.SetWriteHolds(0.01) }, func() { s.controls.SetWriteHolds(0) })
+	case "drain":
+		return []step{{at, fmt.Sprintf("endpoint %s drains", e.name), func() { f.list(e, "draining") }}, {at + length, fmt.Sprintf("endpoint %s is back", e.name), func() { f.list(e, "up") }}}
+	}
+	return nil
+}
+
+func (f *fleet) clockStep(rng *rand.Rand) time.Duration {
+	if !f.clocks {
+		return 0
+	}
+	return []time.Duration{0, -time.Hour, -5 * time.Second, 5 * time.Second, time.Hour}[rng.IntN(5)]
+}
