Keep deadlines, windows and waits in a time of the sender's own, whatever the wall clock does

Cause: deadlines, first attempts, ends and waits were Unix microseconds, compared with the wall clock of the moment.

Change: package clock.

--- a/cmd/measure/journal.go
+++ b/cmd/measure/journal.go
@@ -82,7 +82,7 @@
 			}
 		}
 		if made%200 == 0 {
-			j.Forget(now)
+			j.Forget(j.Clock().At(now))
 			largest = max(largest, folderSize(dir))
 		}
 		time.Sleep(time.Millisecond)
--- a/internal/backlog/segment.go
+++ b/internal/backlog/segment.go
@@ -13,7 +13,7 @@
 	ID       uint64 // hash of its id
 	Order    uint64 // hash of its order key, if its class keeps order; else 0
 	Lane     LaneID
-	Deadline int64  // Unix time in microseconds
+	Deadline int64  // by the sender's clock
 	Offset   uint32 // of its record in the segment, in bytes
 	Head     uint32 // bytes of the record before the body
 	Size     uint32 // bytes of the record
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,80 @@
+package clock
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock tells the sender's time. It may be used by several goroutines at once.
+type Clock struct {
+	base   int64     // the sender's time ...
+	origin time.Time // ... at this moment, which has a monotonic reading
+}
+
+// New makes a clock that shows base, in microseconds, at a moment.
+func New(base int64, origin time.Time) *Clock { return &Clock{base, origin} }
+
+// Now is the time, in microseconds.
+func (c *Clock) Now() int64 { return c.base + time.Since(c.origin).Microseconds() }
+
+// At is the time at a moment of this process.
+func (c *Clock) At(t time.Time) int64 { return c.base + t.Sub(c.origin).Microseconds() }
+
+// Moment is the moment of this process at which the clock shows a time. It may be
+// compared with other moments and waited for, whatever becomes of the wall clock.
+func (c *Clock) Moment(us int64) time.Time {
+	return c.origin.Add(time.Duration(us-c.base) * time.Microsecond)
+}
+
+// Wall is what the wall clock showed or will show at a time, as far as it stands
+// now: for people and protocols, never for decisions.
+func (c *Clock) Wall(us int64) time.Time {
+	now := time.Now()
+	return now.Add(time.Duration(us-c.At(now)) * time.Microsecond).Round(0)
+}
+
+// Epoch ties the sender's time to a boot of the machine.
+type Epoch struct {
+	Boot   string // the boot's id; empty if it has none
+	Offset int64  // of the sender's time before the clock of the boot, in microseconds
+}
+
+// Start makes the clock of a process. kept is what the process before it kept; nil if
+// it kept nothing. latest is the latest time that it has written; 0 for none. The
+// epoch is to be kept in its turn. known says that the time that has passed since
+// earlier times were written is right.
+func Start(kept *Epoch, latest int64) (c *Clock, epoch Epoch, known bool) {
+	return start(kept, latest, systemBoot())
+}
+
+// boot is a moment on the clocks of the machine.
+type boot struct {
+	id     string
+	since  int64 // microseconds since the boot, sleep counted
+	moment time.Time
+}
+
+// systemBoot reads the clocks. On a system that lacks them the id is empty.
+func systemBoot() boot {
+	out := boot{moment: time.Now()}
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+		return out
+	}
+	out.since = ts.Nano() / int64(time.Microsecond)
+	if id, err := os.ReadFile("/proc/sys/kernel/random/boot_id"); err == nil {
+		out.id = strings.TrimSpace(string(id))
+	}
+	return out
+}
+
+func start(kept *Epoch, latest int64, b boot) (c *Clock, epoch Epoch, known bool) {
+	if kept != nil && b.id != "" && kept.Boot == b.id {
+		return New(b.since+kept.Offset, b.moment), *kept, true
+	}
+	now := max(b.moment.UnixMicro(), latest)
+	return New(now, b.moment), Epoch{Boot: b.id, Offset: now - b.since}, kept == nil && latest == 0
+}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -66,9 +66,9 @@
 	h.tries++
 	class := cmp.Or(h.class, &logic.Class{Effect: logic.Unsafe})
 	out.Fragile = class.Effect == logic.Unsafe
-	out.Expires = time.UnixMicro(h.msg.Deadline)
+	out.Expires = c.clock.Moment(h.msg.Deadline)
 	if e := c.store.Entry(a.ID); e != nil && e.MayRun {
-		out.Repeat = permit.Repeat{MayHaveRun: true, Effect: class.Effect, Window: span(class.Window), Age: out.at.Sub(time.UnixMicro(e.FirstMay))}
+		out.Repeat = permit.Repeat{MayHaveRun: true, Effect: class.Effect, Window: span(class.Window), Age: out.at.Sub(c.clock.Moment(e.FirstMay))}
 	}
 	h.attempt, out.left = out, h.left
 	c.traceCall(out)
@@ -197,7 +197,7 @@
 
 // deliver ends a message that an attempt has ended.
 func (c *Core) deliver(id string, h *held, r Result) {
-	now := time.Now().UnixMicro()
+	now := c.clock.Now()
 	if c.cfg.TellDelivered && r.Outcome == logic.Completed {
 		end := message.End{ID: id, State: message.Delivered, At: now, Tries: h.tries}
 		c.records = append(c.records, journal.Record{Op: journal.OpEnd, ID: id, End: &end})
--- a/internal/core/backlog.go
+++ b/internal/core/backlog.go
@@ -137,7 +137,7 @@
 		ev.tell(Answer{Verdict: Busy})
 		return true
 	}
-	b.Put(&disk.Record{Message: *m, Accepted: time.Now().UnixMicro(), Terms: c.terms.n, Digest: m.Digest(), Ordered: ordered})
+	b.Put(&disk.Record{Message: *m, Accepted: c.clock.Now(), Terms: c.terms.n, Digest: m.Digest(), Ordered: ordered})
 	b.placed[m.ID] = true
 	c.puts = append(c.puts, ev)
 	c.fresh[m.ID] = m
@@ -205,8 +205,8 @@
 }
 
 // stateBehind is what is known of a message behind a window.
-func stateBehind(r *disk.Record) State {
-	return State{ID: r.ID, Name: StateAccepted, Tenant: r.Tenant, Partner: r.Partner, Class: r.Class, Accepted: at(r.Accepted), Deadline: at(r.Deadline)}
+func (c *Core) stateBehind(r *disk.Record) State {
+	return State{ID: r.ID, Name: StateAccepted, Tenant: r.Tenant, Partner: r.Partner, Class: r.Class, Accepted: c.wall(r.Accepted), Deadline: c.wall(r.Deadline)}
 }
 
 // fromBehind takes an event of the backlog's; false if it is none.
@@ -243,7 +243,7 @@
 		c.overBehind(r, x.Seq)
 		return
 	}
-	now := time.Now().UnixMicro()
+	now := c.clock.Now()
 	m := &r.Message
 	h := &held{msg: m, accepted: r.Accepted, terms: r.Terms, class: c.terms.class(r.Class)}
 	in := c.callOf(m, now)
@@ -272,7 +272,7 @@
 	m := r.Message
 	m.Body = nil
 	c.behind.over = append(c.behind.over, ending{entry: journal.Entry{Message: m, Accepted: r.Accepted, Terms: r.Terms, Behind: seq, EndDigest: r.Digest, Left: 1},
-		end: message.End{ID: r.ID, State: message.Returned, At: time.Now().UnixMicro()}})
+		end: message.End{ID: r.ID, State: message.Returned, At: c.clock.Now()}})
 	c.behind.ending[r.ID] = r.Digest
 }
 
@@ -281,7 +281,7 @@
 	if c.behind.Backlog == nil {
 		return
 	}
-	at := time.Now().Add(endEarly).UnixMicro()
+	at := c.clock.Now() + endEarly.Microseconds()
 	for len(c.behind.over) < mostEnds {
 		r, seq, ok := c.behind.Over(at)
 		if !ok {
@@ -324,7 +324,7 @@
 			x := &c.behind.over[i]
 			c.ended = append(c.ended, x.end.ID)
 			delete(c.behind.ending, x.end.ID)
-			c.sink.Add(&x.entry.Message, x.end)
+			c.tellEnd(&x.entry.Message, x.end)
 		}
 		clear(c.behind.over)
 		c.behind.over = c.behind.over[:0]
@@ -339,10 +339,9 @@
 	if c.behind.Backlog == nil {
 		return
 	}
-	now := time.Now()
-	c.behind.Work(now.Add(endEarly).UnixMicro())
+	c.behind.Work(c.clock.Now() + endEarly.Microseconds())
 	if at := c.behind.Wake(); at != math.MaxInt64 {
-		c.behind.due.Reset(max(time.UnixMicro(at).Sub(now)-endEarly, time.Millisecond))
+		c.behind.due.Reset(max(time.Until(c.clock.Moment(at))-endEarly, time.Millisecond))
 	} else {
 		c.behind.due.Reset(time.Hour)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"cometrack/internal/clock"
 	"cometrack/internal/journal"
 	"cometrack/internal/lifecycle"
 	"cometrack/internal/message"
@@ -67,7 +68,7 @@
 // held is a message that the module has and that is not over.
 type held struct {
 	msg      *message.Message
-	accepted int64 // Unix time in microseconds
+	accepted int64 // when it was taken on, by the core's clock
 	tries    int
 	terms    int64              // the number of the terms that it is held to
 	class    *logic.Class       // of these; nil if it is not known
@@ -94,6 +95,7 @@
 	stated     atomic.Pointer[terms] // what clients are held to
 	log        *slog.Logger
 	monitor    *permit.Monitor
+	clock      *clock.Clock // of all times that outlive the process
 	store      Store
 	transport  Transport
 	source     Source
@@ -145,7 +147,7 @@
 	if parts.Life == nil {
 		parts.Life = lifecycle.NewLife(Times, parts.Log)
 	}
-	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, early: map[string]earlyWait{}, from: parts.From, openBehind: parts.Behind, afar: map[string]*held{}, log: parts.Log, monitor: parts.Monitor, store: parts.Store,
+	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, early: map[string]earlyWait{}, from: parts.From, openBehind: parts.Behind, afar: map[string]*held{}, log: parts.Log, monitor: parts.Monitor, clock: parts.Store.Clock(), store: parts.Store,
 		transport: parts.Transport, source: parts.Source, sink: parts.Sink, sender: sender,
 		events: make(chan any, eventRoom), done: make(chan struct{}), ready: make(chan struct{}),
 		dir: newDirectory(cfg.Zones, cfg.Settings.Kinds), start: time.Now(), due: time.NewTimer(time.Hour),
@@ -154,6 +156,9 @@
 	return c, c.setTerms(newTerms(cfg.Settings))
 }
 
+// Clock is the clock that deadlines of messages are of.
+func (c *Core) Clock() *clock.Clock { return c.clock }
+
 // Ready is closed once the fronts serve clients.
 func (c *Core) Ready() <-chan struct{} { return c.ready }
 
--- a/internal/core/door.go
+++ b/internal/core/door.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cometrack/internal/clock"
 	"cometrack/internal/message"
 )
 
@@ -28,6 +29,9 @@
 // Check is [Core.Check].
 func (d *Door) Check(m *message.Message, hold time.Duration) error { return d.core.Check(m, hold) }
 
+// Clock is [Core.Clock].
+func (d *Door) Clock() *clock.Clock { return d.core.clock }
+
 // Submit is [Core.Submit]; it waits while too many of the front's requests are
 // unanswered.
 func (d *Door) Submit(m *message.Message, answer chan<- Answer) {
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -126,7 +126,7 @@
 // it. Attempts that have not begun are kept from it.
 func (c *Core) legacy(fronts []Front) (*handover.Legacy, error) {
 	now := time.Now()
-	out := &handover.Legacy{Format: handover.Format, At: now.UnixMicro(), Heard: c.heard, Version: c.source.Version(),
+	out := &handover.Legacy{Format: handover.Format, At: c.clock.At(now), Heard: c.heard, Version: c.source.Version(),
 		Partners: map[string]*journal.Partner{}, Listeners: len(fronts)}
 	busy := map[logic.EndpointID]bool{} // endpoints with calls
 	for _, h := range c.held {
--- a/internal/core/inherit.go
+++ b/internal/core/inherit.go
@@ -80,7 +80,7 @@
 	}
 	c.cfg.Known = nil
 	c.store.AddUnsaved(l.Ended)
-	age := logic.Micros(time.Now().UnixMicro() - l.At)
+	age := logic.Micros(c.clock.Now() - l.At)
 	for name, known := range l.Partners {
 		if c.dir.serves(name) {
 			c.next = append(c.next, logic.Recall{Age: age, Memory: c.toModule(name, known)})
@@ -104,7 +104,7 @@
 		c.dir.last++
 		ep = c.dir.last
 	}
-	a := &Attempt{Message: h.msg, Number: call.Number, Endpoint: ep, at: time.UnixMicro(now - age), first: call.ID}
+	a := &Attempt{Message: h.msg, Number: call.Number, Endpoint: ep, at: c.clock.Moment(now - age), first: call.ID}
 	a.state.Store(attemptBegun)
 	h.attempt, h.stop = a, func() { c.from.Link.Send(&handover.Cancel{ID: call.ID, Number: call.Number}) }
 	h.tries = call.Number + 1
@@ -119,7 +119,7 @@
 // leftovers books the attempts that are out of messages that have ended: they hold
 // slots.
 func (c *Core) leftovers(out map[string]handover.Call) (events []logic.Event) {
-	now := time.Now().UnixMicro()
+	now := c.clock.Now()
 	for id, call := range out {
 		ep, ok := c.dir.ids[call.Endpoint]
 		if !call.Over || !ok || c.held[id] != nil {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -123,7 +123,7 @@
 	}
 	clear(c.records)
 	c.records = c.records[:0]
-	c.store.Forget(now)
+	c.store.Forget(c.clock.At(now))
 	if c.dir.spare(now) {
 		c.forgetSpare(now)
 	} else {
@@ -160,7 +160,7 @@
 	if c.cfg.Known != nil {
 		c.next = append(c.next, logic.Endpoints{Form: logic.ListCached, Entries: c.dir.take(*c.cfg.Known)})
 	}
-	now := time.Now().UnixMicro()
+	now := c.clock.Now()
 	if c.cfg.KeepWaits {
 		for name, until := range c.store.Waits() {
 			if id, ok := c.dir.ids[name]; ok {
@@ -178,7 +178,7 @@
 	orphans := map[string]int{}
 	for _, e := range c.store.Entries() {
 		if e.End != nil {
-			c.sink.Add(&e.Message, *e.End)
+			c.tellEnd(&e.Message, *e.End)
 			continue
 		}
 		in := c.callOf(&e.Message, now)
@@ -252,7 +252,7 @@
 	case lessonsEvent:
 		c.hears(ev)
 	case confirmedEvent:
-		now := time.Now().UnixMicro()
+		now := c.clock.Now()
 		for _, id := range ev.ids {
 			c.records = append(c.records, journal.Record{Op: journal.OpNoticed, ID: id, At: now})
 		}
--- a/internal/core/memory.go
+++ b/internal/core/memory.go
@@ -33,7 +33,7 @@
 	if len(c.past) == 0 {
 		return
 	}
-	now := time.Now().UnixMicro()
+	now := c.clock.Now()
 	for name, known := range c.past {
 		if c.dir.serves(name) {
 			c.next = append(c.next, logic.Recall{Age: logic.Micros(now - known.At), Memory: c.toModule(name, known)})
@@ -44,7 +44,7 @@
 
 // toJournal puts names in the place of numbers; no name if the partner has none.
 func (c *Core) toJournal(m logic.Memory) (name string, out *journal.Partner) {
-	out = &journal.Partner{Exact: m.Exact, At: time.Now().UnixMicro(), Sick: m.Sick, Used: int64(m.Used), Came: m.Came, Down: int64(m.Down),
+	out = &journal.Partner{Exact: m.Exact, At: c.clock.Now(), Sick: m.Sick, Used: int64(m.Used), Came: m.Came, Down: int64(m.Down),
 		Limit: limitOf(m.Lane), Bins: m.Took.Bins, Weights: m.Took.Weights, Cuts: m.Took.Cuts,
 		Sampled: int64(m.Took.Since)}
 	for _, x := range m.Endpoints {
--- a/internal/core/others.go
+++ b/internal/core/others.go
@@ -75,6 +75,6 @@
 func (c *Core) waits(ep logic.EndpointID, d time.Duration) {
 	c.holdWait(ep)
 	if to, ok := c.dir.eps[ep]; ok && c.cfg.KeepWaits {
-		c.records = append(c.records, journal.Record{Op: journal.OpWait, ID: to.name, At: time.Now().Add(d).UnixMicro()})
+		c.records = append(c.records, journal.Record{Op: journal.OpWait, ID: to.name, At: c.clock.Now() + d.Microseconds()})
 	}
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -103,7 +103,7 @@
 				if ask, ok := asks[m.Seq]; ok {
 					delete(asks, m.Seq)
 					ask.answer <- State{ID: ask.id, Name: m.Name, Tenant: m.Tenant, Partner: m.Partner, Class: m.Class, Tries: m.Tries,
-						After: m.After, Accepted: at(m.Accepted), Deadline: at(m.Deadline), Over: at(m.Over)}
+						After: m.After, Accepted: moment(m.Accepted), Deadline: moment(m.Deadline), Over: moment(m.Over)}
 				}
 			case *handover.Cancel:
 				if h := out[m.ID]; h != nil && h.attempt.Number == m.Number {
@@ -123,5 +123,13 @@
 	}
 }
 
+// moment is a time of the wall clock that another process has told; zero for none.
+func moment(us int64) time.Time {
+	if us == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(us)
+}
+
 // callOffEvent calls off what is out.
 type callOffEvent struct{}
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"cometrack/internal/clock"
 	"cometrack/internal/journal"
 	"cometrack/internal/message"
 	"cometrack/logic"
@@ -163,7 +164,10 @@
 	// KeepPassed drops what is known of numbers that nothing is left of.
 	KeepPassed(lives func(first, last uint64) bool)
 	Partners() map[string]*journal.Partner
-	Forget(now time.Time)
+	// Forget drops what is remembered no longer; now is a time of Clock.
+	Forget(now int64)
+	// Clock is the clock that all times in the store are of.
+	Clock() *clock.Clock
 	Len() int
 	Close() error
 }
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -17,7 +17,7 @@
 	c.next = nil
 	actions := c.sender.Step(micros(time.Since(c.start)), events)
 	answers := c.answers(actions)
-	now := time.Now().UnixMicro()
+	now := c.clock.Now()
 	for _, p := range c.puts {
 		id := p.msg.ID
 		if _, told := answers[id]; !told && c.fresh[id] == p.msg && !c.behind.placed[id] {
@@ -72,7 +72,7 @@
 	clear(c.puts)
 	c.puts = c.puts[:0]
 	for _, x := range c.tell { // nobody is told of what the journal does not say
-		c.sink.Add(x.msg, x.end)
+		c.tellEnd(x.msg, x.end)
 	}
 	clear(c.tell)
 	c.tell = c.tell[:0]
@@ -129,6 +129,12 @@
 	return end
 }
 
+// tellEnd has the sink told of an end. To people and other programs its time is that of the wall clock.
+func (c *Core) tellEnd(m *message.Message, end message.End) {
+	end.At = c.clock.Wall(end.At).UnixMicro()
+	c.sink.Add(m, end)
+}
+
 // drop forgets a message that was never taken on.
 func (c *Core) drop(id string) {
 	if h := c.held[id]; h != nil && !h.over {
@@ -175,7 +181,7 @@
 		}
 		if h := c.held[end.ID]; h != nil && !h.over {
 			c.finish(end.ID, h)
-			c.sink.Add(h.msg, end)
+			c.tellEnd(h.msg, end)
 		}
 	case logic.SetTimer:
 		c.due.Reset(span(a.Wait)) // it goes off no later than the one before
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -99,7 +99,7 @@
 		ev.tell(Answer{Verdict: Busy})
 		return
 	}
-	now := time.Now().UnixMicro()
+	now := c.clock.Now()
 	c.held[m.ID] = &held{msg: m, accepted: now, door: ev.door, terms: c.terms.n, class: class}
 	c.open++
 	if c.behind.Backlog != nil {
@@ -194,7 +194,7 @@
 func (c *Core) state(id string) State {
 	if h := c.held[id]; h != nil && !h.over {
 		s := State{ID: id, Name: StateAccepted, Tenant: h.msg.Tenant, Partner: h.msg.Partner, Class: h.msg.Class,
-			Tries: h.tries, Accepted: at(h.accepted), Deadline: at(h.msg.Deadline)}
+			Tries: h.tries, Accepted: c.wall(h.accepted), Deadline: c.wall(h.msg.Deadline)}
 		if h.attempt != nil {
 			s.Name = StateSending
 		}
@@ -202,21 +202,21 @@
 	}
 	if e := c.store.Entry(id); e != nil && e.End != nil {
 		return State{ID: id, Name: e.End.State, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, Tries: e.Tries,
-			After: time.Duration(e.End.AfterMS) * time.Millisecond, Accepted: at(e.Accepted), Over: at(e.End.At)}
+			After: time.Duration(e.End.AfterMS) * time.Millisecond, Accepted: c.wall(e.Accepted), Over: c.wall(e.End.At)}
 	}
 	if e := c.store.Ended(id); e != nil {
 		return State{ID: id, Name: e.State, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, Tries: e.Tries,
-			After: time.Duration(e.AfterMS) * time.Millisecond, Accepted: at(e.Accepted), Over: at(e.Over)}
+			After: time.Duration(e.AfterMS) * time.Millisecond, Accepted: c.wall(e.Accepted), Over: c.wall(e.Over)}
 	}
 	return State{ID: id}
 }
 
-// at is a time of the journal; zero for none.
-func at(us int64) time.Time {
+// wall is a time of the journal as the wall clock shows it, for people and other programs; zero for none.
+func (c *Core) wall(us int64) time.Time {
 	if us == 0 {
 		return time.Time{}
 	}
-	return time.UnixMicro(us)
+	return c.clock.Wall(us)
 }
 
 // tellStates answers those who ask, and those who wait for what has ended.
@@ -234,7 +234,7 @@
 	for _, ask := range c.asks {
 		s := c.state(ask.id)
 		if s.Name == "" && ask.found != nil {
-			s = stateBehind(ask.found)
+			s = c.stateBehind(ask.found)
 		} else if s.Name == "" && c.lookState(ask) {
 			continue
 		}
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -19,7 +19,7 @@
 	if c.tracing() {
 		to := c.dir.eps[a.Endpoint]
 		c.log.Debug("call", "id", a.Message.ID, "partner", a.Message.Partner, "ep", to.name, "try", a.Number, "class", a.Message.Class,
-			"left", time.Until(time.UnixMicro(a.Message.Deadline)).Milliseconds())
+			"left", time.Until(c.clock.Moment(a.Message.Deadline)).Milliseconds())
 	}
 }
 
@@ -34,7 +34,7 @@
 func (c *Core) traceEnd(id string, h *held, state string) {
 	if c.tracing() {
 		c.log.Debug("end", "id", id, "partner", h.msg.Partner, "class", h.msg.Class, "state", state, "tries", h.tries,
-			"age", time.Since(time.UnixMicro(h.accepted)).Milliseconds())
+			"age", time.Since(c.clock.Moment(h.accepted)).Milliseconds())
 	}
 }
 
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"cometrack/internal/clock"
 	"cometrack/internal/core"
 	"cometrack/internal/message"
 	"cometrack/internal/netutil"
@@ -35,6 +36,7 @@
 
 // Core is what the front hands requests to. [core.Door] is one.
 type Core interface {
+	Clock() *clock.Clock
 	Check(m *message.Message, hold time.Duration) error
 	Submit(m *message.Message, answer chan<- core.Answer)
 	State(ctx context.Context, id string, wait bool) (core.State, error)
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -20,6 +20,7 @@
 	"github.com/getkin/kin-openapi/routers"
 	"github.com/getkin/kin-openapi/routers/gorillamux"
 
+	"cometrack/internal/clock"
 	"cometrack/internal/core"
 	"cometrack/internal/message"
 	"cometrack/internal/standin/byhand"
@@ -44,6 +45,9 @@
 	return s.check
 }
 
+// Clock shows about Unix time.
+func (s *scripted) Clock() *clock.Clock { now := time.Now(); return clock.New(now.UnixMicro(), now) }
+
 func (s *scripted) Submit(m *message.Message, answer chan<- core.Answer) {
 	if s.got != nil {
 		s.got <- m
--- a/internal/front/http/messages.go
+++ b/internal/front/http/messages.go
@@ -93,7 +93,7 @@
 	default:
 		hold, _ = f.opts.Defaults(m.Class) // an unknown class is found below
 	}
-	m.Deadline = now.Add(hold).UnixMicro()
+	m.Deadline = f.core.Clock().At(now) + hold.Microseconds()
 	if err := f.core.Check(m, hold); err != nil {
 		return problemOf(err)
 	}
--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"cometrack/internal/clock"
 	"cometrack/internal/core"
 	"cometrack/internal/front/room"
 	"cometrack/internal/message"
@@ -24,6 +25,7 @@
 
 // Core is what the front hands requests to. [core.Core] is one.
 type Core interface {
+	Clock() *clock.Clock
 	Check(m *message.Message, hold time.Duration) error
 	Submit(m *message.Message, answer chan<- core.Answer)
 	State(ctx context.Context, id string, wait bool) (core.State, error)
@@ -206,7 +208,7 @@
 			continue // it ends already, or is owed an answer
 		}
 		list = append(list, s)
-		conns = append(conns, room.Conn{Since: s.since, Answered: s.served, Begun: s.begun, Heard: time.Unix(0, s.heard.Load())})
+		conns = append(conns, room.Conn{Since: s.since, Answered: s.served, Begun: s.begun, Heard: s.opened.Add(time.Duration(s.heard.Load()))})
 	}
 	for len(list) > 0 {
 		i := room.Pick(conns, c.opts.Connections)
--- a/internal/front/resp/commands.go
+++ b/internal/front/resp/commands.go
@@ -240,7 +240,7 @@
 				return nil, 0, errors.New("bad time")
 			}
 			hold = time.Duration(ms) * time.Millisecond
-			m.Deadline = now.Add(hold).UnixMicro()
+			m.Deadline = c.core.Clock().At(now) + hold.Microseconds()
 		case "dest":
 			m.Partner = value
 			if c.opts.Numbers {
--- a/internal/front/resp/front_test.go
+++ b/internal/front/resp/front_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cometrack/internal/clock"
 	"cometrack/internal/core"
 	"cometrack/internal/message"
 	"cometrack/internal/netutil"
@@ -23,6 +24,8 @@
 
 func (yes) Check(*message.Message, time.Duration) error { return nil }
 
+func (yes) Clock() *clock.Clock { now := time.Now(); return clock.New(now.UnixMicro(), now) }
+
 func (yes) Submit(_ *message.Message, answer chan<- core.Answer) { answer <- core.Answer{} }
 
 func (yes) State(_ context.Context, id string, _ bool) (core.State, error) {
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -39,7 +39,7 @@
 	conn   net.Conn
 	opened time.Time
 	errors atomic.Int32 // in a row
-	heard  atomic.Int64 // when the last byte came, Unix nanoseconds
+	heard  atomic.Int64 // when the last byte came, nanoseconds after it was opened
 
 	// The reader's own; nil while there is no need of them.
 	r       *bufio.Reader
@@ -121,7 +121,7 @@
 func (c heardConn) Read(b []byte) (int, error) {
 	n, err := c.s.conn.Read(b)
 	if n > 0 {
-		c.s.heard.Store(time.Now().UnixNano())
+		c.s.heard.Store(int64(time.Since(c.s.opened)))
 	}
 	return n, err
 }
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -22,8 +22,8 @@
 	Reason string `cbor:"1,keyasint"`
 }
 
-// Legacy is what a process hands over beside its journal. Times are Unix
-// microseconds, spans are microseconds.
+// Legacy is what a process hands over beside its journal. Times are those of the
+// journal's clock; times and spans are in microseconds.
 type Legacy struct {
 	Format    int                         `cbor:"1,keyasint"`
 	At        int64                       `cbor:"2,keyasint"`
--- a/internal/journal/ended.go
+++ b/internal/journal/ended.go
@@ -1,7 +1,5 @@
 package journal
 
-import "time"
-
 // Ended is what is remembered of a message that is over.
 type Ended struct {
 	ID       string `json:"id"`
@@ -11,10 +9,10 @@
 	State    string `json:"state"`
 	AfterMS  int64  `json:"after_ms,omitempty"`
 	Tries    int    `json:"tries,omitempty"`
-	Accepted int64  `json:"at,omitempty"` // Unix time in microseconds, as is Over
+	Accepted int64  `json:"at,omitempty"` // by the clock of package clock, as is Over
 	Over     int64  `json:"over"`
 	Digest   uint64 `json:"digest"`
-	Until    int64  `json:"until"` // forgotten after this, Unix time in microseconds
+	Until    int64  `json:"until"` // forgotten after this
 	behind   uint64 // of its [Entry], as is n
 	n        int64
 	saved    bool // it is to be in the store
@@ -83,9 +81,8 @@
 }
 
 // forget drops those at the front whose time is up.
-func (d *ended) forget(now time.Time) {
-	at := now.UnixMicro()
-	for len(d.byID) > 0 && d.queue[d.head].Until < at {
+func (d *ended) forget(now int64) {
+	for len(d.byID) > 0 && d.queue[d.head].Until < now {
 		d.pop()
 	}
 }
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -10,11 +10,11 @@
 // yet to be confirmed. Its names in JSON are those of the file of before 0.3.
 type Entry struct {
 	message.Message
-	Accepted  int64        `json:"at,omitempty"` // when it was taken on, Unix microseconds
+	Accepted  int64        `json:"at,omitempty"` // when it was taken on, by the clock of package clock
 	Tries     int          `json:"tries,omitempty"`
 	Open      bool         `json:"open,omitempty"`      // the last attempt has no outcome
 	MayRun    bool         `json:"may_run,omitempty"`   // an earlier one may have run
-	FirstMay  int64        `json:"first_may,omitempty"` // when the first that may have run was sent, Unix microseconds
+	FirstMay  int64        `json:"first_may,omitempty"` // when the first that may have run was sent, by the clock of package clock
 	FirstZone string       `json:"at_zone,omitempty"`   // zone of its endpoint
 	End       *message.End `json:"end,omitempty"`
 	OldDest   *int64       `json:"dest,omitempty"`   // the partner, in files of before 0.2
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"cometrack/internal/clock"
 	"cometrack/internal/message"
 	"cometrack/internal/store"
 	"cometrack/internal/vfs"
@@ -51,8 +52,11 @@
 	n        int64
 	entries  map[string]*Entry
 	ended    *ended
-	waits    map[string]int64 // told waits: until when, Unix microseconds, by endpoint
-	promised int64            // bytes that Room has said yes to and Append has not had
+	waits    map[string]int64 // told waits: until when, by endpoint
+	clock    *clock.Clock
+	epoch    clock.Epoch
+	newEpoch bool  // the store does not have it
+	promised int64 // bytes that Room has said yes to and Append has not had
 	batch    store.Batch
 	buf      bytes.Buffer // values of the batch
 	undo     []func()
@@ -119,6 +123,7 @@
 // load reads all that the store has.
 func (j *Journal) load() error {
 	states := map[string]*stateRecord{}
+	var kept *clock.Epoch
 	unread, err := j.store.Range(func(key string, value []byte) error {
 		id := key[1:]
 		switch key[:1] {
@@ -143,6 +148,12 @@
 				return err
 			}
 			j.waits[id] = r.Until
+		case keyClock:
+			var r clockRecord
+			if err := decode(key, value, &r); err != nil {
+				return err
+			}
+			kept = &clock.Epoch{Boot: r.Boot, Offset: r.Offset}
 		case keyTerms:
 			t := &Terms{}
 			if err := decode(key, value, t); err != nil {
@@ -209,17 +220,60 @@
 		}
 	}
 	slices.SortFunc(over, func(a, b *Ended) int { return int(min(max(a.Over-b.Over, -1), 1)) })
+	known := j.startClock(kept, over)
 	for _, x := range over {
+		if !known { // nothing is forgotten early: its window begins anew
+			x.Until = max(x.Until, j.clock.Now()+max(x.Until-x.Over, 0))
+		}
 		j.ended.add(x)
 	}
-	j.ended.forget(time.Now())
+	j.ended.forget(j.clock.Now())
 	if j.partners.bytes > j.partners.room { // less than before
 		j.partners.evict()
 	}
-	j.partners.forget(time.Now())
+	j.partners.forget(j.clock.Now())
 	return nil
 }
 
+// startClock makes the clock that the times of the records are of, and says whether the time that has passed since they
+// were written is known. If it is not, no window for repeats is taken to be open.
+func (j *Journal) startClock(kept *clock.Epoch, over []*Ended) (known bool) {
+	latest := int64(0)
+	for _, e := range j.entries {
+		latest = max(latest, e.Accepted, e.FirstMay)
+		if e.End != nil {
+			latest = max(latest, e.End.At)
+		}
+	}
+	for _, x := range over {
+		latest = max(latest, x.Over)
+	}
+	j.clock, j.epoch, known = clock.Start(kept, latest)
+	j.newEpoch = kept == nil || *kept != j.epoch
+	if known {
+		return true
+	}
+	j.log.Warn("journal: how long ago it was written is not known; the wall clock is taken, and nothing that may have run is repeated by its key")
+	j.doubtWindows()
+	return false
+}
+
+// doubtWindows takes the windows for repeats of all that may have run for over.
+func (j *Journal) doubtWindows() {
+	for _, e := range j.entries {
+		if e.MayRun || e.Open {
+			e.FirstMay = longAgo
+			j.mark(e.ID, markState)
+		}
+	}
+}
+
+// longAgo is a time before all others.
+const longAgo = 1
+
+// Clock is the clock that the times in the journal are of.
+func (j *Journal) Clock() *clock.Clock { return j.clock }
+
 // Append takes records on in one go, so that a process that dies leaves all of
 // the earlier ones before any later one. On an error the caller must not act on a
 // message taken on or a send: they count as not having been. What only records
@@ -305,7 +359,7 @@
 		j.waits[rec.ID] = max(j.waits[rec.ID], rec.At) // a shorter one takes nothing back
 		j.dirtyWaits[rec.ID] = true
 		if len(j.waits) > mostWaits {
-			j.dropWaits(time.Now())
+			j.dropWaits(j.clock.Now())
 		}
 		return nil
 	case OpPassed:
@@ -405,6 +459,9 @@
 		b.Reset()
 		return err
 	}
+	if j.newEpoch { // before all that has times
+		b.Put(keyClock, encode(&j.buf, &clockRecord{j.epoch.Boot, j.epoch.Offset}))
+	}
 	for n := range j.dirtyTerms { // before the messages that name them
 		if err := commit(mostTermsBytes); err != nil {
 			return err
@@ -463,6 +520,7 @@
 	clear(j.partners.dirty)
 	clear(j.dirty)
 	clear(j.dirtyWaits)
+	j.newEpoch = false
 	clear(j.dirtyTerms)
 	clear(j.passed.dirty)
 	j.changed = j.changed[:0]
@@ -509,20 +567,20 @@
 func (j *Journal) AddUnsaved(list []*Ended) { j.ended.before(list) }
 
 // Waits lists the waits that endpoints have told and that are not over: until when,
-// Unix time in microseconds, by the endpoint's name.
+// by the endpoint's name.
 func (j *Journal) Waits() map[string]int64 {
-	j.dropWaits(time.Now())
+	j.dropWaits(j.clock.Now())
 	return j.waits
 }
 
 // dropWaits drops waits that are over, and above the bound those that end first.
-func (j *Journal) dropWaits(now time.Time) {
+func (j *Journal) dropWaits(now int64) {
 	drop := func(name string) {
 		delete(j.waits, name)
 		j.dirtyWaits[name] = true
 	}
 	for name, until := range j.waits {
-		if until <= now.UnixMicro() {
+		if until <= now {
 			drop(name)
 		}
 	}
@@ -538,7 +596,7 @@
 }
 
 // Forget drops ends whose time is up.
-func (j *Journal) Forget(now time.Time) {
+func (j *Journal) Forget(now int64) {
 	j.ended.forget(now)
 	j.partners.forget(now)
 	j.dropTerms()
--- a/internal/journal/old.go
+++ b/internal/journal/old.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"hash/crc32"
 	"io/fs"
-	"time"
 
 	"cometrack/internal/vfs"
 )
@@ -55,7 +54,8 @@
 		j.apply(&rec)
 		read += oldHeader + int(size)
 	}
-	j.dropWaits(time.Now())
+	j.doubtWindows() // its times are those of a wall clock
+	j.dropWaits(j.clock.Now())
 	if err := j.flush(); err != nil {
 		return fmt.Errorf("taking over the file %s: %w", oldName, err)
 	}
--- a/internal/journal/partners.go
+++ b/internal/journal/partners.go
@@ -101,7 +101,7 @@
 	dirty map[string]bool
 	room  int64 // 0: nothing is kept
 	bytes int64
-	next  time.Time // of the search for those whose time is up
+	next  int64 // of the search for those whose time is up
 }
 
 // add takes what is known of a partner.
@@ -149,17 +149,17 @@
 }
 
 // forget drops those whose time is up.
-func (p *partners) forget(now time.Time) {
-	if now.Before(p.next) {
+func (p *partners) forget(now int64) {
+	if now < p.next {
 		return
 	}
-	p.next = now.Add(partnersEvery)
+	p.next = now + partnersEvery.Microseconds()
 	for name, k := range p.by {
 		keep := keepWell
 		if k.sick {
 			keep = keepSick
 		}
-		if now.UnixMicro()-k.at > keep.Microseconds() {
+		if now-k.at > keep.Microseconds() {
 			p.drop(name)
 		}
 	}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -22,9 +22,10 @@
 	keyPartner = "p"
 	keyTerms   = "c"
 	keyPassed  = "b"
+	keyClock   = "t" // one record: how the times in the others are to be read
 )
 
-// The records are CBOR maps with numbers as keys (RFC 8949): a reader skips keys
+// Times are those of package clock, in microseconds. The records are CBOR maps with numbers as keys (RFC 8949): a reader skips keys
 // that it does not know.
 
 type messageRecord struct {
@@ -64,7 +65,13 @@
 }
 
 type waitRecord struct {
-	Until int64 `cbor:"1,keyasint"` // Unix microseconds
+	Until int64 `cbor:"1,keyasint"`
+}
+
+// clockRecord ties the times of all records to a boot of the machine, see package clock.
+type clockRecord struct {
+	Boot   string `cbor:"1,keyasint"`
+	Offset int64  `cbor:"2,keyasint"`
 }
 
 var ends = [...]string{1: message.Delivered, 2: message.Returned, 3: message.Failed}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -20,7 +20,7 @@
 	Class    string `json:"class"`
 	Tenant   string `json:"tenant,omitempty"`
 	Partner  string `json:"partner"`
-	Deadline int64  `json:"deadline"` // Unix time in microseconds
+	Deadline int64  `json:"deadline"` // by the sender's clock, see package clock
 	Body     []byte `json:"body,omitempty"`
 }
 
@@ -61,6 +61,6 @@
 	ID      string `json:"id"`
 	State   string `json:"state"`
 	AfterMS int64  `json:"after_ms,omitempty"` // returned: when to come again, in milliseconds; 0 if not told
-	At      int64  `json:"at,omitempty"`       // when, Unix time in microseconds
+	At      int64  `json:"at,omitempty"`       // when: in the journal by the sender's clock, told to others by the wall clock
 	Tries   int    `json:"tries,omitempty"`    // attempts made
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -23,9 +23,9 @@
 	At       time.Time // its last byte
 	Endpoint string
 	Ran      bool
-	Status   int       // that was written whole; 0 for none
-	Answered time.Time // when the answer was written; zero if it was not
-	Closed   time.Time // when the connection ended, if that was before an answer
+	Status   int           // that was written whole; 0 for none
+	Answered time.Time     // when the answer was written; zero if it was not
+	Closed   time.Time     // when the connection ended, if that was before an answer
 	InWait   time.Duration // for which it came inside a wait that its sender was told
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -129,6 +129,9 @@
 	}
 	s := &sender{number: i, addr: addr, dir: filepath.Join(o.Dir, fmt.Sprint("state-", i)), config: filepath.Join(o.Dir, fmt.Sprintf("config-%d.json", i)),
 		binary: o.Binary, platform: f.platform, records: f.records}
+	if err := os.RemoveAll(s.dir); err != nil { // of an earlier run with this seed
+		return nil, err
+	}
 	if err := os.MkdirAll(s.dir, 0o700); err != nil {
 		return nil, err
 	}
--- a/internal/transport/http/calls.go
+++ b/internal/transport/http/calls.go
@@ -192,7 +192,7 @@
 	if l.comes {
 		return time.Now().Add(l.linger)
 	}
-	return time.Unix(1, 0)
+	return time.Now().Add(-time.Second)
 }
 
 // wait gives what comes next so much time at most, or if 0 all that the call has.
