--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -198,13 +198,14 @@
 // deliver ends a message that an attempt has ended.
 func (c *Core) deliver(id string, h *held, r Result) {
 	now := c.clock.Now()
-	if c.cfg.TellDelivered && r.Outcome == logic.Completed {
-		end := message.End{ID: id, State: message.Delivered, At: now, Tries: h.tries}
+	end := message.End{ID: id, State: message.Delivered, At: now, Tries: h.tries}
+	heard := c.cfg.TellDelivered && r.Outcome == logic.Completed // by the sink
+	if heard {
 		c.records = append(c.records, journal.Record{Op: journal.OpEnd, ID: id, End: &end})
-		c.tell = append(c.tell, toldEnd{h.msg, end})
 	} else {
 		c.records = append(c.records, journal.Record{Op: journal.OpDone, ID: id, At: now})
 	}
+	c.untold = append(c.untold, toldEnd{h.msg, end, heard})
 	c.traceEnd(id, h, message.Delivered)
 	c.finish(id, h)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,10 +79,11 @@
 	attempt  *Attempt           // that attempt
 }
 
-// toldEnd is an end that the sink is to be told of.
+// toldEnd is an end that is to be told.
 type toldEnd struct {
-	msg *message.Message
-	end message.End
+	msg  *message.Message
+	end  message.End
+	sink bool // the sink is to hear of it; else only those who wait for the message's state
 }
 
 // Core is one sender.
@@ -126,7 +127,7 @@
 	asks     []stateEvent
 	records  []journal.Record
 	doors    []*Door
-	tell     []toldEnd // deliveries that the sink is to be told of
+	untold   []toldEnd // ends that are to be told once the journal holds them; no more than messages are held
 	ended    []string  // messages that are over since the last step
 	watchers map[string][]chan State
 	terms    *terms // what messages are taken on under
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -80,16 +80,23 @@
 	Store
 	mu   sync.Mutex
 	fail bool
-	lost bool            // bodies can't be read back
-	sick map[string]bool // partners, as last told
+	past []journal.Record // that could not be written yet
+	lost bool             // bodies can't be read back
+	sick map[string]bool  // partners, as last told
 }
 
 func (f *failing) Append(recs []journal.Record) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.fail && len(recs) > 0 {
+	if f.fail && len(recs)+len(f.past) > 0 {
+		for _, r := range recs { // as the journal does: what only tells of the past is written later
+			if r.Op != journal.OpAccept && r.Op != journal.OpSend {
+				f.past = append(f.past, r)
+			}
+		}
 		return errors.New("no space left")
 	}
+	recs, f.past = append(f.past, recs...), nil
 	for _, r := range recs {
 		if r.Op == journal.OpPartner {
 			f.sick[r.ID] = r.Partner.Sick
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -49,6 +49,8 @@
 	}
 	// confirmedEvent says that the end sink has passed on these ends.
 	confirmedEvent struct{ ids []string }
+	// writeEvent has the journal write what it could not before.
+	writeEvent struct{}
 	// closingEvent starts the shutdown.
 	closingEvent struct{ left time.Duration }
 )
@@ -264,6 +266,7 @@
 		c.askedFor(ev)
 	case retuneEvent:
 		c.retune(ev)
+	case writeEvent: // the step that follows does
 	case closingEvent:
 		c.next = append(c.next, logic.Closing{Left: micros(ev.left)})
 		c.behind.closing = true
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cometrack/internal/journal"
@@ -18,6 +19,34 @@
 	actions := c.sender.Step(micros(time.Since(c.start)), events)
 	answers := c.answers(actions)
 	now := c.clock.Now()
+	c.record(actions, answers, now)
+	err := c.store.Append(c.records)
+	notBehind := c.commitBehind(err)
+	clear(c.records)
+	c.records = c.records[:0]
+	if err != nil {
+		c.log.Error("journal", "err", err)
+	}
+	c.wroteBehind(err)
+	c.answerPuts(answers, err, notBehind)
+	var outs []logic.CallOut // some may share a call; the module says nothing more of one in the same step
+	for _, a := range actions {
+		if out, ok := a.(logic.CallOut); ok {
+			outs = append(outs, out)
+			continue
+		}
+		c.act(work, a, answers, now)
+	}
+	c.tellEnds(err == nil)
+	c.callOuts(work, outs, err == nil)
+	c.leaveBodies()
+	clear(c.behind.placed)
+	c.tellStates()
+	c.workBehind()
+}
+
+// record adds what the module has decided to what the journal is to get.
+func (c *Core) record(actions []logic.Action, answers map[string]Answer, now int64) {
 	for _, p := range c.puts {
 		id := p.msg.ID
 		if _, told := answers[id]; !told && c.fresh[id] == p.msg && !c.behind.placed[id] {
@@ -40,14 +69,11 @@
 	if len(c.records) > 0 { // a write is due anyway
 		c.remember(rememberStep)
 	}
-	err := c.store.Append(c.records)
-	notBehind := c.commitBehind(err)
-	clear(c.records)
-	c.records = c.records[:0]
-	if err != nil {
-		c.log.Error("journal", "err", err)
-	}
-	c.wroteBehind(err)
+}
+
+// answerPuts tells clients what became of the messages that they have handed in. err
+// is what became of the journal, notBehind of what goes behind windows.
+func (c *Core) answerPuts(answers map[string]Answer, err, notBehind error) {
 	for _, p := range c.puts {
 		id := p.msg.ID
 		switch answer, told := answers[id]; {
@@ -59,7 +85,7 @@
 			} else {
 				p.tell(Answer{Verdict: Accepted, Again: c.fresh[id] != p.msg})
 			}
-		case err != nil: // not written, so not taken on
+		case err != nil && c.store.Entry(id) == nil: // not written, so not taken on
 			p.tell(Answer{Verdict: Busy})
 			if c.fresh[id] == p.msg {
 				c.drop(id)
@@ -71,24 +97,6 @@
 	}
 	clear(c.puts)
 	c.puts = c.puts[:0]
-	for _, x := range c.tell { // nobody is told of what the journal does not say
-		c.tellEnd(x.msg, x.end)
-	}
-	clear(c.tell)
-	c.tell = c.tell[:0]
-	var outs []logic.CallOut // some may share a call; the module says nothing more of one in the same step
-	for _, a := range actions {
-		if out, ok := a.(logic.CallOut); ok {
-			outs = append(outs, out)
-			continue
-		}
-		c.act(work, a, answers, now)
-	}
-	c.callOuts(work, outs, err == nil)
-	c.leaveBodies()
-	clear(c.behind.placed)
-	c.tellStates()
-	c.workBehind()
 }
 
 // leaveBodies forgets the bodies of new messages that the store has taken over.
@@ -129,6 +137,38 @@
 	return end
 }
 
+// tellEnds tells of what has ended, as far as package permit allows it: what the journal
+// does not hold yet waits for the next good write, which a timer sees to.
+func (c *Core) tellEnds(written bool) {
+	kept := c.untold[:0]
+	for _, x := range c.untold {
+		end := permit.End{Written: written, Delivered: x.end.State == message.Delivered, Left: time.Until(c.clock.Moment(x.msg.Deadline))}
+		if reason := permit.TellEnd(end); reason != permit.Granted {
+			c.monitor.Refused(reason, "tell end", x.end.ID)
+			kept = append(kept, x)
+			continue
+		}
+		if x.sink {
+			c.tellEnd(x.msg, x.end)
+		}
+		c.ended = append(c.ended, x.end.ID)
+	}
+	clear(c.untold[len(kept):])
+	c.untold = kept
+	if len(kept) > 0 {
+		time.AfterFunc(retryPause, func() { c.post(writeEvent{}) })
+	}
+}
+
+// untoldEnd is the end of a message of which nobody may be told yet; nil if there is none.
+func (c *Core) untoldEnd(id string) *toldEnd {
+	i := slices.IndexFunc(c.untold, func(x toldEnd) bool { return x.end.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return &c.untold[i]
+}
+
 // tellEnd has the sink told of an end. To people and other programs its time is that of the wall clock.
 func (c *Core) tellEnd(m *message.Message, end message.End) {
 	end.At = c.clock.Wall(end.At).UnixMicro()
@@ -157,7 +197,6 @@
 		}
 	}
 	c.leave(h)
-	c.ended = append(c.ended, id)
 	if h.stop == nil {
 		delete(c.held, id)
 	}
@@ -181,7 +220,7 @@
 		}
 		if h := c.held[end.ID]; h != nil && !h.over {
 			c.finish(end.ID, h)
-			c.tellEnd(h.msg, end)
+			c.untold = append(c.untold, toldEnd{h.msg, end, true})
 		}
 	case logic.SetTimer:
 		c.due.Reset(span(a.Wait)) // it goes off no later than the one before
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -200,6 +200,10 @@
 		}
 		return s
 	}
+	if x := c.untoldEnd(id); x != nil { // to others it is not over yet
+		return State{ID: id, Name: StateAccepted, Tenant: x.msg.Tenant, Partner: x.msg.Partner, Class: x.msg.Class, Tries: x.end.Tries,
+			Deadline: c.wall(x.msg.Deadline)}
+	}
 	if e := c.store.Entry(id); e != nil && e.End != nil {
 		return State{ID: id, Name: e.End.State, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, Tries: e.Tries,
 			After: time.Duration(e.End.AfterMS) * time.Millisecond, Accepted: c.wall(e.Accepted), Over: c.wall(e.End.At)}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -59,7 +59,9 @@
 	promised int64 // bytes that Room has said yes to and Append has not had
 	batch    store.Batch
 	buf      bytes.Buffer // values of the batch
-	undo     []func()
+	undo     []undo
+	unsaid   []string // ids in the batch that is being put together
+	behind   bool     // a write has failed, and what it was of is not in the store
 	// What the store does not have as it is here: messages by id, in the order in which they changed, and waits.
 	dirty      map[string]mark
 	changed    []string
@@ -277,9 +279,11 @@
 // Append takes records on in one go, so that a process that dies leaves all of
 // the earlier ones before any later one. On an error the caller must not act on a
 // message taken on or a send: they count as not having been. What only records
-// the past counts all the same, and is written with the next records.
+// the past counts all the same, and is written with the next records, of which there
+// may be none. What takes several batches may be written in part: a message that
+// [Journal.Entry] knows has been taken on even so.
 func (j *Journal) Append(recs []Record) error {
-	if len(recs) == 0 {
+	if len(recs) == 0 && !j.behind {
 		return nil
 	}
 	j.promised = 0
@@ -287,12 +291,14 @@
 	j.undo = j.undo[:0]
 	for i := range recs {
 		if u := j.apply(&recs[i]); u != nil {
-			j.undo = append(j.undo, u)
+			j.undo = append(j.undo, undo{recs[i].subject(), u})
 		}
 	}
 	if err := j.flush(); err != nil {
 		for _, u := range slices.Backward(j.undo) {
-			u()
+			if j.dirty[u.id] != 0 { // else it was in a batch that was written, and counts
+				u.run()
+			}
 		}
 		return fmt.Errorf("journal: %w", err)
 	}
@@ -331,6 +337,20 @@
 // ErrNoBody says that nothing is held under an id.
 var ErrNoBody = errors.New("not held")
 
+// undo takes back what must not count if it can't be written.
+type undo struct {
+	id  string // the message
+	run func()
+}
+
+// subject is the id of the message that a record is of.
+func (rec *Record) subject() string {
+	if rec.Entry != nil {
+		return rec.Entry.ID
+	}
+	return rec.ID
+}
+
 // apply brings the entries up to date with a record. What must not count if it
 // can't be written comes with a way to undo it.
 func (j *Journal) apply(rec *Record) (undo func()) {
@@ -447,7 +467,24 @@
 
 // flush writes what the store does not have, in as many batches as it takes.
 func (j *Journal) flush() error {
+	err := j.writeAll()
+	if j.behind = err != nil; j.behind {
+		j.changed = slices.DeleteFunc(j.changed, func(id string) bool { return j.dirty[id] == 0 })
+	}
+	return err
+}
+
+// written notes that the store has the batch.
+func (j *Journal) written() {
+	for _, id := range j.unsaid {
+		delete(j.dirty, id)
+	}
+	j.unsaid = j.unsaid[:0]
+}
+
+func (j *Journal) writeAll() error {
 	b := &j.batch
+	j.unsaid = j.unsaid[:0]
 	b.Reset()
 	j.buf.Reset()
 	b.Owed = true // Room has seen to the room
@@ -457,6 +494,9 @@
 		}
 		err := j.store.Commit(b)
 		b.Reset()
+		if err == nil {
+			j.written()
+		}
 		return err
 	}
 	if j.newEpoch { // before all that has times
@@ -481,6 +521,7 @@
 			return err
 		}
 		j.put(b, id, j.dirty[id])
+		j.unsaid = append(j.unsaid, id)
 	}
 	for name := range j.dirtyWaits {
 		if err := commit(mostOther); err != nil {
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -60,6 +60,23 @@
 	})
 }
 
+func TestTellEnd(t *testing.T) {
+	for _, x := range []struct {
+		end  End
+		want Reason
+	}{
+		{End{Written: true, Left: time.Second}, Granted},
+		{End{Written: true, Delivered: true, Left: time.Second}, Granted},
+		{End{Left: time.Second}, NotWritten},
+		{End{Left: 0}, Granted},
+		{End{Delivered: true, Left: 0}, NotWritten},
+	} {
+		if got := TellEnd(x.end); got != x.want {
+			t.Errorf("%+v: %v, want %v", x.end, got, x.want)
+		}
+	}
+}
+
 func TestClose(t *testing.T) {
 	for _, x := range []struct {
 		c            Connection
--- a/internal/permit/send.go
+++ b/internal/permit/send.go
@@ -73,12 +73,19 @@
 	return m.Repeat.Check()
 }
 
-// TellEnd says whether the end of a message may be told: only once the journal holds
-// it, or the message itself was never written. Else a process that starts after a
-// crash would send the message again.
-func TellEnd(written bool) Reason {
-	if !written {
-		return NotWritten
+// End is what decides whether the end of a message may be told.
+type End struct {
+	Written   bool          // the journal holds it
+	Delivered bool          // it is a delivery
+	Left      time.Duration // of the message's time
+}
+
+// TellEnd says whether an end may be told: only once the journal holds it, else a
+// process that starts after a crash would send the message again. An end other than a
+// delivery may be told without once the message's time is up: nobody sends it then.
+func TellEnd(e End) Reason {
+	if e.Written || !e.Delivered && e.Left <= 0 {
+		return Granted
 	}
-	return Granted
+	return NotWritten
 }
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -114,13 +114,20 @@
 		return []step{{at, fmt.Sprintf("wall clock of sender %d is off by %v", s.number, off), func() { s.controls.SetWall(off) }}}
 	case "disk":
 		length = min(length, 3*time.Second)
-		return during(fmt.Sprintf("disk of sender %d fails", s.number), func() {
-			s.controls.SetWrites(0.7, syscall.ENOSPC)
-			s.controls.SetSyncs(0.7, syscall.EIO)
+		probability := []float64{0.7, 1}[rng.IntN(2)]
+		steps := during(fmt.Sprintf("disk of sender %d fails", s.number), func() {
+			s.controls.SetWrites(probability, syscall.ENOSPC)
+			s.controls.SetSyncs(probability, syscall.EIO)
 		}, func() {
 			s.controls.SetWrites(0, 0)
 			s.controls.SetSyncs(0, 0)
 		})
+		if rng.IntN(2) == 0 {
+			steps = append(steps, step{at + length - length/8, fmt.Sprintf("sender %d is killed while its disk fails", s.number), func() {
+				f.async(func() error { return s.restart(false, nil, nil) })
+			}})
+		}
+		return steps
 	case "accept":
 		errno := []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EINTR}[rng.IntN(4)]
 		return during(fmt.Sprintf("accepts of sender %d fail with %v", s.number, errno), func() { s.controls.SetAccepts(0.3, errno) }, func() { s.controls.SetAccepts(0, 0) })
