Tell failed accepts apart, accept who waits before a listener closes, cut no request being read

Cause: every failed accept counted as a lack of descriptors, and front/resp closed another client's connection for it; http, console and guard had the same pause in four copies. A connection that ended could be cut while a request on it had been read whole and its reader had not said so yet. Connections that waited in the accept queue as the listener closed were reset with their requests. A half-read request at a shutdown was answered as failed, and may come again.

What is read while the process ends is answered, then nothing more is read.

--- a/internal/cluster/guard.go
+++ b/internal/cluster/guard.go
@@ -18,6 +18,8 @@
 	"unsafe"
 
 	"golang.org/x/sys/unix"
+
+	"cometrack/internal/netutil"
 )
 
 // A guard is a second process of a sender that answers the others' probes. It says
@@ -105,14 +107,11 @@
 // serveAsks answers probes on a listener until it is closed.
 func serveAsks(ln net.Listener, ring *keyring, state func() answer, drop func(string)) {
 	places := make(chan struct{}, doorConns)
+	accept := netutil.Acceptor{Listener: ln}
 	for {
-		conn, err := ln.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		conn, err := accept.Accept()
+		if err != nil {
 			return
-		case err != nil:
-			time.Sleep(5 * time.Millisecond) // out of descriptors, say
-			continue
 		}
 		select {
 		case places <- struct{}{}:
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -14,6 +14,7 @@
 
 	"cometrack/internal/cluster"
 	"cometrack/internal/lifecycle"
+	"cometrack/internal/netutil"
 )
 
 // Bounds of the console.
@@ -60,7 +61,7 @@
 		return nil, fmt.Errorf("console: %w", err)
 	}
 	p := newPlaces(Connections)
-	c := &Console{ln: &listener{ln, p, log}, log: log}
+	c := &Console{ln: &listener{netutil.Acceptor{Listener: ln, Log: log}, p}, log: log}
 	c.server = &http.Server{Handler: c.handler(life), ReadHeaderTimeout: headTime, ReadTimeout: headTime + answerTime,
 		WriteTimeout: headTime + answerTime, MaxHeaderBytes: maxHead, ConnState: p.note,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
--- a/internal/console/places.go
+++ b/internal/console/places.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -14,8 +12,7 @@
 )
 
 const (
-	acceptPause = 5 * time.Millisecond
-	placeTime   = 100 * time.Millisecond // for a whole call to give its place back
+	placeTime = 100 * time.Millisecond // for a whole call to give its place back
 )
 
 // headEnd ends the head of a call.
@@ -120,21 +117,15 @@
 
 // listener hands out connections that have a place.
 type listener struct {
-	net.Listener
+	netutil.Acceptor
 	places *places
-	log    *slog.Logger
 }
 
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		c, err := l.Acceptor.Accept()
+		if err != nil {
 			return nil, err
-		case err != nil:
-			l.log.Warn("console: accept", "err", err)
-			time.Sleep(acceptPause) // out of descriptors, say: one that closes makes room
-			continue
 		}
 		if l.await(c) {
 			return &conn{c, l.places}, nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,8 +19,10 @@
 const (
 	stopSends  = 3200 * time.Millisecond // what is sent after that must end by then
 	sweepEvery = time.Second
-	retryPause = 250 * time.Millisecond // of an attempt that could not be written to the journal
-	eventRoom  = 4096
+	// lastClients is how long clients may be answered once the loop has ended.
+	lastClients = 150 * time.Millisecond
+	retryPause  = 250 * time.Millisecond // of an attempt that could not be written to the journal
+	eventRoom   = 4096
 )
 
 // Config is what the core needs to know of a deployment.
@@ -229,7 +231,8 @@
 		err = c.relay(heir, served, stopped)
 	}
 	close(c.done)
-	c.turnAway()
+	cancel() // ends what clients are left
+	c.turnAway(served)
 	return err
 }
 
@@ -279,17 +282,21 @@
 	c.source.Watch(c.deciding, func(n News) { c.post(n) })
 }
 
-// turnAway answers what has come too late for the loop.
-func (c *Core) turnAway() {
+// turnAway answers what has come too late for the loop, until no client is left.
+func (c *Core) turnAway(served <-chan struct{}) {
+	late := time.NewTimer(lastClients)
+	defer late.Stop()
 	for {
 		select {
 		case ev := <-c.events:
 			if put, ok := ev.(putEvent); ok {
 				put.tell(Answer{Verdict: Stopped})
 			}
-		default:
-			return
+			continue
+		case <-served:
+		case <-late.C:
 		}
+		return
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/busyend_test.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cometrack/internal/source/platform"
+	"cometrack/internal/standin/byhand"
+	"cometrack/internal/standin/discovery"
+	"cometrack/internal/standin/partner"
+)
+
+// Clients that send one request behind the other and never wait for an answer, on connections that stay open, from
+// before SIGTERM until the process has gone: no request that came well before its connection ended goes without an
+// answer, and the process ends by itself in time.
+func TestRequestsUpToTheEnd(t *testing.T) {
+	const (
+		conns   = 12
+		pace    = 3 * time.Millisecond
+		crosses = 150 * time.Millisecond // a request that is younger may have crossed the end of its connection
+	)
+	to := startPartner(t, partner.Options{Name: "1"})
+	p := discovery.New(t)
+	known := platform.List{Generation: 1, Reset: true, Instances: []platform.Instance{{ID: "s-0", HostPort: to.Addr(), Zone: "a", Kind: "std",
+		Dest: 1, Lifecycle: "up", Weight: 10000}}}
+	p.List = known
+	x := startProcess(t, p, t.TempDir(), known)
+	var all sync.WaitGroup
+	var asked, answered atomic.Int64
+	stop := make(chan struct{})
+	for i := range conns {
+		c, err := net.Dial("tcp", x.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		var mu sync.Mutex
+		var sent []time.Time
+		all.Go(func() { // writes
+			for n := 0; ; n++ {
+				id := fmt.Sprintf("m-%d-%d", i, n)
+				args := []string{"MSG.PUT", "0000", id, "c=safe,t=acme,d=10000,dest=1", "x"}
+				text := fmt.Sprintf("*%d\r\n", len(args))
+				for _, a := range args {
+					text += fmt.Sprintf("$%d\r\n%s\r\n", len(a), a)
+				}
+				mu.Lock()
+				sent = append(sent, time.Now())
+				mu.Unlock()
+				if _, err := c.Write([]byte(text)); err != nil {
+					return
+				}
+				asked.Add(1)
+				select {
+				case <-stop:
+					return
+				case <-time.After(pace):
+				}
+			}
+		})
+		all.Go(func() { // reads
+			r := bufio.NewReader(c)
+			n := 0
+			for ; ; n++ {
+				line, err := r.ReadString('\n')
+				if err != nil {
+					break
+				}
+				if !strings.HasPrefix(line, "+OK") && !strings.HasPrefix(line, "-BUSY") {
+					t.Errorf("answer %q", line)
+				}
+				answered.Add(1)
+			}
+			ended := time.Now()
+			mu.Lock()
+			defer mu.Unlock()
+			for k, at := range sent[min(n, len(sent)):] {
+				if age := ended.Sub(at); age > crosses {
+					t.Errorf("request %d of connection %d had no answer %v later, as its connection ended", n+k, i, age)
+					break
+				}
+			}
+		})
+	}
+	byhand.Until(t, "traffic", func() bool { return answered.Load() > conns })
+	from := time.Now()
+	x.term()
+	x.end()
+	close(stop)
+	all.Wait()
+	t.Logf("%d requests, %d answers, ended after %v", asked.Load(), answered.Load(), time.Since(from))
+	if took := time.Since(from); took > 3700*time.Millisecond {
+		t.Errorf("it ends %v after SIGTERM, and is killed after 3.7 s", took)
+	}
+}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -22,16 +22,15 @@
 
 // Bounds of what a client may ask for.
 const (
-	headTime    = 5 * time.Second  // for a request's head
-	bodyTime    = 10 * time.Second // for a body of one message, or a line of a batch
-	answerTime  = 10 * time.Second // for a client to take an answer, or an event
-	idleTime    = 60 * time.Second // between requests; the idlest goes sooner where places are short
-	maxHead     = 16 << 10
-	maxStreams  = 250 // requests at once on one HTTP/2 connection
-	smallBody   = 4 << 10
-	placeTime   = 200 * time.Millisecond // to wait for a place for a large body
-	acceptPause = 5 * time.Millisecond
-	certTime    = 5 * time.Second
+	headTime   = 5 * time.Second  // for a request's head
+	bodyTime   = 10 * time.Second // for a body of one message, or a line of a batch
+	answerTime = 10 * time.Second // for a client to take an answer, or an event
+	idleTime   = 60 * time.Second // between requests; the idlest goes sooner where places are short
+	maxHead    = 16 << 10
+	maxStreams = 250 // requests at once on one HTTP/2 connection
+	smallBody  = 4 << 10
+	placeTime  = 200 * time.Millisecond // to wait for a place for a large body
+	certTime   = 5 * time.Second
 )
 
 // Core is what the front hands requests to. [core.Door] is one.
@@ -205,7 +204,7 @@
 
 // Serve takes clients until CloseListener.
 func (f *Front) Serve() {
-	var ln net.Listener = &listener{f.ln, f}
+	var ln net.Listener = newListener(f.ln, &f.places, f.log)
 	if f.opts.Certificate != "" {
 		go f.followCertificate()
 		ln = tls.NewListener(ln, &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: []string{"h2", "http/1.1"},
--- a/internal/front/http/places.go
+++ b/internal/front/http/places.go
@@ -1,13 +1,16 @@
 package httpfront
 
 import (
-	"errors"
+	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"cometrack/internal/front/room"
+	"cometrack/internal/netutil"
+	"cometrack/internal/permit"
 )
 
 // places bounds the connections. When all are taken, the one that package room picks
@@ -36,19 +39,34 @@
 	return true
 }
 
-// evict closes the idlest connection. It is called under the lock.
+// release closes the idlest connection, if one may go.
+func (p *places) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evict()
+}
+
+// evict closes the idlest connection that owes nothing and on which nothing has come. It
+// is called under the lock.
 func (p *places) evict() bool {
 	list, conns := make([]net.Conn, 0, len(p.conns)), make([]room.Conn, 0, len(p.conns))
 	for c, x := range p.conns {
 		list, conns = append(list, c), append(conns, room.Conn{Since: x.since, Busy: x.busy, Answered: x.done})
 	}
-	i := room.Pick(conns, p.most)
-	if i < 0 {
-		return false
+	for len(list) > 0 {
+		i := room.Pick(conns, p.most)
+		if i < 0 {
+			return false
+		}
+		_, unread := netutil.Peek(list[i])
+		if permit.Close(permit.Connection{Unread: unread}) == permit.Granted {
+			delete(p.conns, list[i])
+			list[i].Close()
+			return true
+		}
+		list, conns = slices.Delete(list, i, i+1), slices.Delete(conns, i, i+1)
 	}
-	delete(p.conns, list[i])
-	list[i].Close()
-	return true
+	return false
 }
 
 // note follows the server's connections.
@@ -74,22 +92,21 @@
 
 // listener hands out connections that have a place.
 type listener struct {
-	net.Listener
-	f *Front
+	netutil.Acceptor
+	places *places
+}
+
+func newListener(ln net.Listener, p *places, log *slog.Logger) *listener {
+	return &listener{netutil.Acceptor{Listener: ln, Log: log, Release: p.release}, p}
 }
 
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		c, err := l.Acceptor.Accept()
+		if err != nil {
 			return nil, err
-		case err != nil:
-			l.f.log.Warn("http front: accept", "err", err)
-			time.Sleep(acceptPause) // out of descriptors, say: one that closes makes room
-			continue
 		}
-		if l.f.places.take(c) {
+		if l.places.take(c) {
 			return c, nil
 		}
 		c.Close()
--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cometrack/internal/clock"
@@ -14,11 +14,12 @@
 	"cometrack/internal/front/room"
 	"cometrack/internal/message"
 	"cometrack/internal/netutil"
+	"cometrack/internal/permit"
 )
 
 const (
-	acceptPause  = 5 * time.Millisecond
-	maxPipelined = 16 // requests of one connection that wait for their answers
+	lastAnswers  = 100 * time.Millisecond // to answer what was read before the process ended
+	maxPipelined = 16                     // requests of one connection that wait for their answers
 	smallRequest = 4 << 10
 	largeRequest = message.MaxBody + smallRequest
 )
@@ -58,11 +59,13 @@
 	mu       sync.Mutex
 	places   room.Places
 	sessions map[*session]struct{}
-	ending   int           // of them, those that end
-	closing  bool          // no new connection is taken, and old ones end
-	retiring bool          // connections end between requests
-	hurried  bool          // and soon, if a request has begun to come
-	accepted chan struct{} // closed when no connection is accepted any more; nil before any is
+	ending   int               // of them, those that end
+	closing  bool              // no new connection is taken, and old ones end
+	retiring bool              // connections end between requests
+	hurried  bool              // and soon, if a request has begun to come
+	over     atomic.Bool       // the process ends: nothing more is read
+	acceptor *netutil.Acceptor // nil before Serve
+	accepted chan struct{}     // closed when no connection is accepted any more; nil before any is
 	wg       sync.WaitGroup
 }
 
@@ -97,8 +100,18 @@
 // Addr is where the front listens.
 func (c *Front) Addr() net.Addr { return c.ln.Addr() }
 
-// CloseListener ends the taking of new clients.
-func (c *Front) CloseListener() { c.ln.Close() }
+// CloseListener ends the taking of new clients, but for those that wait to be accepted
+// already.
+func (c *Front) CloseListener() {
+	c.mu.Lock()
+	accept := c.acceptor
+	c.mu.Unlock()
+	if accept == nil {
+		c.ln.Close()
+		return
+	}
+	accept.Drain()
+}
 
 // Serve accepts connections until the listener is closed.
 func (c *Front) Serve() {
@@ -107,16 +120,14 @@
 	c.accepted = accepted
 	c.mu.Unlock()
 	defer close(accepted)
+	accept := &netutil.Acceptor{Listener: ln, Log: c.log, Release: c.releaseOne}
+	c.mu.Lock()
+	c.acceptor = accept
+	c.mu.Unlock()
 	for {
-		conn, err := ln.Accept()
+		conn, err := accept.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			c.log.Warn("accept", "err", err)
-			c.spare()
-			time.Sleep(acceptPause) // out of descriptors, say: one that closes makes room
-			continue
+			return
 		}
 		s := &session{c: c, conn: conn, opened: time.Now()}
 		s.since = s.opened
@@ -153,8 +164,8 @@
 	return false
 }
 
-// spare has a descriptor given back, when there is none for a new connection.
-func (c *Front) spare() {
+// releaseOne has a descriptor given back, when there is none for a new connection.
+func (c *Front) releaseOne() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.cut() {
@@ -183,7 +194,8 @@
 	list, conns := make([]*session, 0, c.ending), make([]room.Conn, 0, c.ending)
 	for s := range c.sessions {
 		if !s.left.IsZero() {
-			list, conns = append(list, s), append(conns, room.Conn{Since: s.left, Answered: true, Busy: s.open > 0 && !s.begun})
+			may := permit.Abort(permit.Connection{Unanswered: s.open}) // a request that is being read may be whole by now
+			list, conns = append(list, s), append(conns, room.Conn{Since: s.left, Answered: true, Busy: may != permit.Granted})
 		}
 	}
 	i := room.Pick(conns, c.places.Live)
@@ -284,6 +296,25 @@
 	go func() { c.wg.Wait(); close(done) }()
 	select {
 	case <-done:
+		return
 	case <-ctx.Done():
 	}
+	// Clients that never paused are here yet. What has been read is answered; nothing more is.
+	c.over.Store(true)
+	c.mu.Lock()
+	for s := range c.sessions {
+		s.conn.SetReadDeadline(time.Now())
+	}
+	c.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(lastAnswers):
+	}
+}
+
+// ends says whether connections are about to end.
+func (c *Front) ends() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retiring
 }
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -159,9 +159,12 @@
 		case errors.Is(err, errNoPlace):
 			s.send(answer{line: busyLine(0)})
 			return
-		case errors.Is(err, os.ErrDeadlineExceeded) && live:
+		case errors.Is(err, os.ErrDeadlineExceeded) && live && !s.c.ends():
 			s.send(answer{line: answerTimeout, large: large})
 			return
+		case errors.Is(err, os.ErrDeadlineExceeded) && live: // this end gives up: it was not taken on, and may come again
+			s.send(answer{line: busyLine(0), large: large})
+			return
 		}
 		s.send(answer{large: large})
 		return
@@ -210,6 +213,9 @@
 
 // await waits for the first byte of a request; false ends the connection.
 func (s *session) await(first bool) bool {
+	if s.c.over.Load() {
+		return false // nothing more is read
+	}
 	if s.r == nil || s.r.Buffered() == 0 {
 		s.rest()
 		if first {
@@ -345,7 +351,10 @@
 	s.leave()
 	s.shut = true
 	by := time.Now().Add(lingerClient)
-	if s.c.retiring {
+	switch {
+	case s.c.over.Load():
+		by = time.Now()
+	case s.c.retiring:
 		by = time.Now().Add(lastRequest)
 	}
 	s.conn.SetReadDeadline(by)
