Leave room for a stall at idle connections, in notices, and in the expiry that endpoints are told

A kept connection was used up to a quarter of its idle time before its end, which may be under the 0.15 s of a stall; a notice whose answer does not come held up all others for 1 s, and ends are due 0.3 s after their time; X-Expires-In-Ms counted from before the connection was made.

Change: a margin of at least permit.LeastLeft for idle connections; the first answer to notices is waited for 0.2 s, doubled up to 1 s; the expiry counts from the write.

--- a/internal/sink/notices/notices.go
+++ b/internal/sink/notices/notices.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	noticeTime  = time.Second // for one answer
+	noticeTime  = time.Second            // for one answer
+	firstTime   = 200 * time.Millisecond // for the first: ends are due 0.3 s after their time, and an answer comes at once if it comes
 	noticeFirst = 25 * time.Millisecond
 	noticeMost  = 400 * time.Millisecond
 	noticeBatch = 256
@@ -94,9 +95,10 @@
 			}
 			continue
 		}
-		for pause := noticeFirst; ; pause = min(2*pause, noticeMost) {
+		within := firstTime
+		for pause := noticeFirst; ; pause, within = min(2*pause, noticeMost), min(2*within, noticeTime) {
 			url := n.address()
-			status, err := n.post(ctx, batch)
+			status, err := n.post(ctx, batch, within)
 			if err == nil && status == http.StatusNoContent {
 				confirm(idsOf(batch))
 				break
@@ -128,7 +130,7 @@
 // oneByOne sends the lines of a batch that can't be read singly and gives up those that are at fault.
 func (n *Sink) oneByOne(ctx context.Context, batch []line, confirm func(ids []string)) bool {
 	for _, x := range batch {
-		status, err := n.post(ctx, []line{x})
+		status, err := n.post(ctx, []line{x}, noticeTime)
 		if err != nil || status != http.StatusNoContent && status != http.StatusBadRequest {
 			return false
 		}
@@ -158,7 +160,9 @@
 	return batch
 }
 
-func (n *Sink) post(ctx context.Context, batch []line) (int, error) {
+// post sends a batch and waits for its answer. One that does not come may have been heard: telling an end again does no
+// harm.
+func (n *Sink) post(ctx context.Context, batch []line, within time.Duration) (int, error) {
 	var b bytes.Buffer
 	enc := json.NewEncoder(&b)
 	for _, x := range batch {
@@ -166,7 +170,7 @@
 			return 0, err
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, noticeTime)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	n.mu.Lock()
 	url := n.url
--- a/internal/transport/http/batch.go
+++ b/internal/transport/http/batch.go
@@ -106,7 +106,7 @@
 				}
 			}
 		},
-		write: func(b []byte) []byte { return appendBatch(b, sent, head.Addr, head.GiveUp) }})
+		write: func(b []byte, left time.Duration) []byte { return appendBatch(b, sent, head.Addr, left) }})
 	var fates map[string]core.Result
 	if whole.Outcome == logic.Completed {
 		fates = readFates(answer.Bytes(), whole)
--- a/internal/transport/http/calls.go
+++ b/internal/transport/http/calls.go
@@ -90,25 +90,25 @@
 
 func (c *Transport) single(ctx context.Context, a *core.Attempt, giveUp time.Duration) core.Result {
 	head := &core.Attempt{Endpoint: a.Endpoint, Addr: a.Addr, Fragile: a.Fragile, GiveUp: giveUp}
-	return c.do(ctx, request{Attempt: head, begin: a.Begin, written: a.Written, reason: a.Reason, write: func(b []byte) []byte {
-		return appendDeliver(b, a.Message, a.Addr, giveUp)
+	return c.do(ctx, request{Attempt: head, begin: a.Begin, written: a.Written, reason: a.Reason, write: func(b []byte, left time.Duration) []byte {
+		return appendDeliver(b, a.Message, a.Addr, left)
 	}})
 }
 
 // Probe asks an endpoint whether it is well.
 func (c *Transport) Probe(ctx context.Context, ep logic.EndpointID, addr string) logic.Outcome {
 	a := &core.Attempt{Endpoint: ep, Addr: addr, GiveUp: probeTime}
-	return c.do(ctx, request{Attempt: a, begin: a.Begin, written: a.Written, reason: a.Reason, write: func(b []byte) []byte { return appendProbe(b, addr) }}).Outcome
+	return c.do(ctx, request{Attempt: a, begin: a.Begin, written: a.Written, reason: a.Reason, write: func(b []byte, _ time.Duration) []byte { return appendProbe(b, addr) }}).Outcome
 }
 
 // request is one call. Its attempt says where to, for how long and how carefully.
 type request struct {
 	*core.Attempt
-	begin   func() bool           // right before the first byte; whether it may go out
-	reason  func() permit.Reason  // why it may not
-	write   func(b []byte) []byte // appends the request; called after begin
-	written func()                // right after the last byte
-	body    *bytes.Buffer         // for that of the answer; nil if it means nothing
+	begin   func() bool                               // right before the first byte; whether it may go out
+	reason  func() permit.Reason                      // why it may not
+	write   func(b []byte, left time.Duration) []byte // appends the request, whose answer is waited for so long; called after begin
+	written func()                                    // right after the last byte
+	body    *bytes.Buffer                             // for that of the answer; nil if it means nothing
 }
 
 // do makes a call. When ctx is cancelled it is called off.
@@ -133,7 +133,7 @@
 	limit := &cutoff{conn: conn, by: deadline, linger: c.linger}
 	stop := context.AfterFunc(ctx, limit.cancel)
 	limit.wait(0)
-	if err := send(conn, in); err != nil {
+	if err := send(conn, in, time.Until(deadline)); err != nil {
 		stop()
 		c.drop(conn)
 		return core.Result{Outcome: logic.RefusedConn} // its last byte was not written
@@ -156,9 +156,9 @@
 }
 
 // send writes a request in one go.
-func send(conn net.Conn, in request) error {
+func send(conn net.Conn, in request, left time.Duration) error {
 	buf := requests.Get().(*[]byte)
-	b := in.write((*buf)[:0])
+	b := in.write((*buf)[:0], left)
 	_, err := conn.Write(b)
 	if *buf = b; cap(b) <= keepRequest {
 		requests.Put(buf)
@@ -378,7 +378,8 @@
 // good says whether a kept connection may carry a call: neither about to be closed
 // for its age nor closed already, nor with an answer on it that nobody asked for.
 func (c *Transport) good(conn *idleConn) bool {
-	if time.Since(conn.since) > c.idleTime-min(idleMargin, c.idleTime/4) {
+	margin := max(min(idleMargin, c.idleTime/4), permit.LeastLeft) // the process may be held up before it writes
+	if time.Since(conn.since) > c.idleTime-margin {
 		return false
 	}
 	alive, data := netutil.Peek(conn.Conn)
