--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -75,3 +75,54 @@
 	}
 	return dir, os.MkdirAll(dir, 0o700)
 }
+
+// plants has the soak look for faults that were put into the program on purpose, each
+// until it is found.
+func plants(args []string) error {
+	flags := flag.NewFlagSet("plants", flag.ExitOnError)
+	seed := flags.Uint64("seed", 1, "of the first run")
+	seeds := flags.Int("seeds", 10, "after so many runs a fault counts as not found")
+	senders := flags.Int("senders", 24, "processes of the program")
+	length := flags.Duration("length", 12*time.Second, "for which faults come")
+	only := flags.String("only", "", "the name of one fault; empty for all")
+	flags.Parse(args)
+	top, err := workDir("")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(top)
+	missed := 0
+	for i, p := range soak.Plants {
+		if *only != "" && p.Name != *only {
+			continue
+		}
+		path := filepath.Join(top, fmt.Sprint("cometrack-", i))
+		if err := faultbuild.Build(path, "./cmd/cometrack", p.Changes...); err != nil {
+			return err
+		}
+		found := false
+		for n := range *seeds {
+			o := soak.Options{Seed: *seed + uint64(n), Senders: *senders, Length: *length, Binary: path, Dir: filepath.Join(top, fmt.Sprint(i, "-", n)),
+				LoseFolder: p.LoseFolder}
+			if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+				return err
+			}
+			r, err := soak.Run(o)
+			if err != nil {
+				return fmt.Errorf("%s, seed %d: %w", p.Name, o.Seed, err)
+			}
+			if found = len(r.Violations) > 0; found {
+				fmt.Printf("%s: found at seed %d, run %d, %d violations, the first: %s\n", p.Name, o.Seed, n+1, len(r.Violations), r.Violations[0])
+				break
+			}
+		}
+		if !found {
+			missed++
+			fmt.Printf("%s: NOT found in %d runs\n", p.Name, *seeds)
+		}
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d planted faults were not found", missed)
+	}
+	return nil
+}
--- a/internal/cluster/guard.go
+++ b/internal/cluster/guard.go
@@ -146,10 +146,6 @@
 type door struct {
 	c  *Cluster
 	ln *net.TCPListener
-	mu sync.Mutex
-	// proc is the guard; nil for none.
-	proc *exec.Cmd
-	over bool
 }
 
 func newDoor(c *Cluster, ln *net.TCPListener) *door { return &door{c: c, ln: ln} }
--- a/internal/facts/copy_test.go
+++ b/internal/facts/copy_test.go
@@ -199,7 +199,6 @@
 	if l := w.learn(4, s); l.Back {
 		t.Error("an answer to a call from before has ended it")
 	}
-	_, mark = w.copies[3].Own()
 	w.copies[3].Tell(w.local(3), s, Value{Covers: w.copies[3].Cover(s, math.MaxUint64)}, 0, 60*sec)
 	w.exchange()
 	if l := w.learn(1, s); !l.Back {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -35,6 +35,8 @@
 	records  *Records
 	logs     *logFile
 
+	loseFolder bool // planted: its folder is emptied at each restart
+
 	life sync.Mutex // held while it is being restarted
 	mu   sync.Mutex
 	proc *program.Program
@@ -175,6 +177,14 @@
 	if between != nil {
 		between()
 	}
+	if s.loseFolder {
+		if err := os.RemoveAll(s.dir); err != nil {
+			return err
+		}
+		if err := os.MkdirAll(s.dir, 0o700); err != nil {
+			return err
+		}
+	}
 	time.Sleep(startAfter)
 	started := time.Now()
 	if err := s.launch(); err != nil {
--- /dev/null
+++ b/internal/soak/plant.go
@@ -0,0 +1,44 @@
+package soak
+
+import "cometrack/internal/standin/faultbuild"
+
+// Plant is a fault put into the program on purpose: a soak that does not find it within
+// a few seeds proves nothing by finding none.
+type Plant struct {
+	Name    string
+	Changes []faultbuild.Change
+	// LoseFolder has the folder of a sender emptied at some restarts.
+	LoseFolder bool
+	// Faults are the kinds by which it shows; empty for all.
+	Faults []string
+}
+
+// Plants are the faults that the soak has to find.
+var Plants = []Plant{
+	{Name: "lost folder", LoseFolder: true},
+	{Name: "skipped journal write", Changes: []faultbuild.Change{
+		{File: "internal/store/commit.go", Old: "	if len(b.ops) == 0 {\n		return nil\n	}\n	w := &waiter{batch: b}",
+			New: "	if skipped++; len(b.ops) == 0 || skipped%20 == 0 {\n		return nil\n	}\n	w := &waiter{batch: b}"},
+		{File: "internal/store/commit.go", Old: "type waiter struct {", New: "var skipped int\n\ntype waiter struct {"},
+	}},
+	{Name: "repeat after an end", Changes: []faultbuild.Change{
+		{File: "internal/core/step.go", Old: "if _, told := answers[end.ID]; !told && c.isOwed(end.ID) {",
+			New: "if _, told := answers[end.ID]; !told && c.isOwed(end.ID) && len(end.ID)%2 == 0 {"},
+	}},
+	{Name: "closed with a request read", Changes: []faultbuild.Change{
+		{File: "internal/front/resp/session.go", Old: "		if err == nil {\n			s.conn.SetWriteDeadline(time.Now().Add(answerTime))\n			_, err = w.WriteString(line)",
+			New: "		if planted.Add(1)%400 == 0 {\n			time.Sleep(300 * time.Millisecond)\n			s.conn.Close()\n		}\n		if err == nil {\n			s.conn.SetWriteDeadline(time.Now().Add(answerTime))\n			_, err = w.WriteString(line)"},
+		{File: "internal/front/resp/session.go", Old: "// readers are those of", New: "var planted atomic.Int64\n\n// readers are those of"},
+	}},
+	{Name: "deadline by the wall clock", Changes: []faultbuild.Change{
+		{File: "internal/clock/clock.go", Old: "return c.base + time.Since(c.origin).Microseconds()", New: "return time.Now().UnixMicro()"},
+		{File: "internal/clock/clock.go", Old: "return c.base + t.Sub(c.origin).Microseconds()", New: "return t.UnixMicro()"},
+		{File: "internal/clock/clock.go", Old: "return c.origin.Add(time.Duration(us-c.base) * time.Microsecond)", New: "return time.UnixMicro(us)"},
+	}},
+	{Name: "no room for a stall", Changes: []faultbuild.Change{
+		{File: "internal/permit/send.go", Old: "MaxStall = 150 * time.Millisecond", New: "MaxStall = 0 * time.Millisecond"},
+	}},
+	{Name: "end told before it is written", Changes: []faultbuild.Change{
+		{File: "internal/permit/send.go", Old: "if e.Written || !e.Delivered && e.Left <= 0 {", New: "if true {"},
+	}},
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -128,7 +128,7 @@
 		return nil, err
 	}
 	s := &sender{number: i, addr: addr, dir: filepath.Join(o.Dir, fmt.Sprint("state-", i)), config: filepath.Join(o.Dir, fmt.Sprintf("config-%d.json", i)),
-		binary: o.Binary, platform: f.platform, records: f.records}
+		binary: o.Binary, platform: f.platform, records: f.records, loseFolder: o.LoseFolder}
 	if err := os.RemoveAll(s.dir); err != nil { // of an earlier run with this seed
 		return nil, err
 	}
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -15,6 +15,8 @@
 	Binary  string        // built by package faultbuild
 	Dir     string        // for folders of the senders and their logs
 	Faults  []string      // kinds to draw from; empty for all
+	// LoseFolder has senders' folders emptied at restarts: a planted fault.
+	LoseFolder bool
 }
 
 // step is one fault of a script.
--- a/internal/standin/faultbuild/overlay.go
+++ b/internal/standin/faultbuild/overlay.go
@@ -16,6 +16,13 @@
 	old, new string
 }
 
+// Change replaces one piece of a file of this module, which must be there exactly once:
+// a fault that a test is to find.
+type Change struct {
+	File     string // below the top of the module
+	Old, New string
+}
+
 // patches put the calls of the hooks in hooksSource into the standard library.
 var patches = []patch{
 	{"time/time.go", "	sec, nsec, mono := runtimeNow()\n	if mono == 0 {\n		return Time{uint64(nsec), sec + unixToInternal, Local}",
@@ -148,23 +155,19 @@
 }
 `
 
-// Build builds a package of this module, such as ./cmd/cometrack, to path. The
-// working directory must be within the module.
-func Build(path, pkg string, tags ...string) error {
+// Build builds a package of this module, such as ./cmd/cometrack, to path, with changes
+// to the module's own files. The working directory must be within the module.
+func Build(path, pkg string, changes ...Change) error {
 	dir, err := os.MkdirTemp("", "faultbuild")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(dir)
-	overlay, err := writeOverlay(dir)
+	overlay, err := writeOverlay(dir, changes...)
 	if err != nil {
 		return err
 	}
-	args := []string{"build", "-overlay", overlay, "-o", path}
-	if len(tags) > 0 {
-		args = append(args, "-tags", strings.Join(tags, ","))
-	}
-	out, err := exec.Command("go", append(args, pkg)...).CombinedOutput()
+	out, err := exec.Command("go", "build", "-overlay", overlay, "-o", path, pkg).CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("build %s: %w\n%s", pkg, err, out)
 	}
@@ -173,34 +176,31 @@
 
 // writeOverlay writes the patched copies below dir, and the file that names them for
 // the compiler.
-func writeOverlay(dir string) (path string, err error) {
-	out, err := exec.Command("go", "env", "GOROOT").Output()
+func writeOverlay(dir string, changes ...Change) (path string, err error) {
+	out, err := exec.Command("go", "env", "GOROOT", "GOMOD").Output()
 	if err != nil {
-		return "", fmt.Errorf("go env GOROOT: %w", err)
+		return "", fmt.Errorf("go env: %w", err)
 	}
-	source := filepath.Join(strings.TrimSpace(string(out)), "src")
-	texts := map[string]string{hooksFile: hooksSource}
+	where := strings.Fields(string(out))
+	source, module := filepath.Join(where[0], "src"), filepath.Dir(where[1])
+	texts := map[string]string{filepath.Join(source, hooksFile): hooksSource}
 	for _, p := range patches {
-		text, ok := texts[p.file]
-		if !ok {
-			b, err := os.ReadFile(filepath.Join(source, p.file))
-			if err != nil {
-				return "", err
-			}
-			text = string(b)
+		if err := replaceOnce(texts, filepath.Join(source, p.file), p.old, p.new); err != nil {
+			return "", fmt.Errorf("this tool chain is not known: %w", err)
 		}
-		if n := strings.Count(text, p.old); n != 1 {
-			return "", fmt.Errorf("%s: the piece to patch is there %d times, and was to be there once: this tool chain is not known\n%s", p.file, n, p.old)
+	}
+	for _, c := range changes {
+		if err := replaceOnce(texts, filepath.Join(module, c.File), c.Old, c.New); err != nil {
+			return "", err
 		}
-		texts[p.file] = strings.Replace(text, p.old, p.new, 1)
 	}
 	replace := map[string]string{}
 	for name, text := range texts {
-		file := filepath.Join(dir, strings.ReplaceAll(name, "/", "_"))
+		file := filepath.Join(dir, fmt.Sprint(len(replace), "_", filepath.Base(name)))
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return "", err
 		}
-		replace[filepath.Join(source, name)] = file
+		replace[name] = file
 	}
 	b, err := json.Marshal(map[string]any{"Replace": replace})
 	if err != nil {
@@ -209,3 +209,20 @@
 	path = filepath.Join(dir, "overlay.json")
 	return path, os.WriteFile(path, b, 0o600)
 }
+
+// replaceOnce replaces a piece of a file, which is read unless texts has it already.
+func replaceOnce(texts map[string]string, file, before, after string) error {
+	text, ok := texts[file]
+	if !ok {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		text = string(b)
+	}
+	if n := strings.Count(text, before); n != 1 {
+		return fmt.Errorf("%s: the piece to replace is there %d times, and was to be there once:\n%s", file, n, before)
+	}
+	texts[file] = strings.Replace(text, before, after, 1)
+	return nil
+}
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -89,6 +89,13 @@
 	return out
 }
 
+// settle waits for the datagram that the relay is at.
+func (l *link) settle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.Carried
+}
+
 // Carried is how many datagrams have come through all links, and their bytes without
 // those of IP and UDP.
 func (f *Fleet) Carried() (n, bytes int) {
--- a/internal/standin/fleet/relay_test.go
+++ b/internal/standin/fleet/relay_test.go
@@ -81,8 +81,7 @@
 		for i := range n {
 			a.WriteToUDP([]byte("x"), toB)
 			if i%50 == 49 { // the relay takes its turn
-				p.net.links[0][1].mu.Lock()
-				p.net.links[0][1].mu.Unlock()
+				p.net.links[0][1].settle()
 			}
 		}
 		for stop := time.Now().Add(5 * time.Second); ; { // all have gone through the relay
