--- a/cmd/cometrack/commands.go
+++ b/cmd/cometrack/commands.go
@@ -96,17 +96,18 @@
 			defer stop()
 			log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 			life := lifecycle.NewLife(core.Times, log)
-			know, closeConsole, err := daemon.OpenConsole(f.Console.Listen, life, log)
+			console, err := daemon.OpenConsole(f.Console.Listen, life, log)
 			if err != nil {
 				return &exit{exitError, err}
 			}
-			defer closeConsole()
+			defer console.Close()
 			daemon.Version = version
 			d, err := daemon.NewStandalone(ctx, f, life, log)
 			if err != nil {
 				return &exit{exitError, err}
 			}
-			know(d.Cluster())
+			console.Know(d.Cluster())
+			console.Report(d.Metrics())
 			if err := d.Run(ctx, hup, func() (*config.File, error) { return config.Load(path) }); err != nil {
 				return &exit{exitError, err}
 			}
--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -82,15 +82,16 @@
 	}
 	limit(int(math.Ceil(cfg.Limits.Cores)), cfg.Limits.MemoryMB)
 	life := lifecycle.NewLife(core.Times, log)
-	_, closeConsole, err := daemon.OpenConsole(cfg.Console, life, log) // first: it answers while the journal is read
+	console, err := daemon.OpenConsole(cfg.Console, life, log) // first: it answers while the journal is read
 	if err != nil {
 		return err
 	}
-	defer closeConsole()
+	defer console.Close()
 	n, err := daemon.NewPlatform(ctx, cfg, life, log)
 	if err != nil {
 		return err
 	}
+	console.Report(n.Metrics())
 	return n.Run(ctx, hup, config.LoadPlatform)
 }
 
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -49,6 +49,7 @@
 // Console serves the operators.
 type Console struct {
 	cluster atomic.Pointer[Cluster]
+	metrics atomic.Pointer[func() Metrics]
 	server  *http.Server
 	ln      net.Listener
 	log     *slog.Logger
@@ -79,6 +80,18 @@
 	}
 }
 
+// Metrics are what GET /_metrics tells, as JSON: counts since the start, actions that
+// were refused by their reason, and violations of what must always hold.
+type Metrics struct {
+	State      string           `json:"state"`
+	Counts     map[string]int64 `json:"counts"`
+	Refused    map[string]int64 `json:"refused"`
+	Violations map[string]int64 `json:"violations"`
+}
+
+// Report has the console tell metrics.
+func (c *Console) Report(metrics func() Metrics) { c.metrics.Store(&metrics) }
+
 // Know has the console answer for what is known of other senders.
 func (c *Console) Know(x Cluster) { c.cluster.Store(&x) }
 
@@ -110,6 +123,16 @@
 			}
 			say(w, code, v.State.String())
 		}},
+		"/_metrics": {http.MethodGet, func(w http.ResponseWriter) {
+			m := Metrics{}
+			if f := c.metrics.Load(); f != nil {
+				m = (*f)()
+			}
+			m.State = life.View().State.String()
+			w.Header().Set("Content-Type", "application/json")
+			w.Header().Set("Cache-Control", "no-store")
+			json.NewEncoder(w).Encode(m)
+		}},
 		"/_lameduck/on": {http.MethodPost, func(w http.ResponseWriter) {
 			life.Tell(lifecycle.DrainOn)
 			say(w, http.StatusOK, life.View().State.String())
@@ -166,7 +189,7 @@
 		case !ok && others[r.URL.Path].method != "":
 			say(w, http.StatusNotFound, "this sender knows nothing of others: its file has no [cluster]")
 		case !ok:
-			say(w, http.StatusNotFound, "no such call; there are GET /_ready, POST /_lameduck/on, POST /_lameduck/off, GET /cluster, GET /cluster/facts?partner=NAME, POST /cluster/leave, POST /cluster/forget?name=NAME")
+			say(w, http.StatusNotFound, "no such call; there are GET /_ready, GET /_metrics, POST /_lameduck/on, POST /_lameduck/off, GET /cluster, GET /cluster/facts?partner=NAME, POST /cluster/leave, POST /cluster/forget?name=NAME")
 		case r.Method != at.method:
 			w.Header().Set("Allow", at.method)
 			say(w, http.StatusMethodNotAllowed, "this call takes "+at.method)
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -60,6 +60,15 @@
 		c.next = append(c.next, logic.Reply{ID: a.ID, NoMore: true, Endpoint: a.Endpoint, Outcome: logic.Moot})
 		return nil
 	}
+	if h.stop != nil || h.over { // the module's books say otherwise: nothing goes out
+		kind := permit.TwoAttempts
+		if h.over {
+			kind = permit.SentAfterEnd
+		}
+		c.monitor.Violated(kind, a.ID, "attempt", h.tries, "withheld", true)
+		c.next = append(c.next, logic.Reply{ID: a.ID, NoMore: h.over, Endpoint: a.Endpoint, Attempt: h.tries, Outcome: logic.Moot})
+		return nil
+	}
 	to := c.dir.eps[a.Endpoint]
 	out := &Attempt{Message: h.msg, Number: h.tries, Endpoint: a.Endpoint, Addr: to.addr, GiveUp: span(a.GiveUp), at: time.Now(), first: a.ID,
 		part: c.part, allowed: c.allowed, monitor: c.monitor}
@@ -71,6 +80,7 @@
 		out.Repeat = permit.Repeat{MayHaveRun: true, Effect: class.Effect, Window: span(class.Window), Age: out.at.Sub(c.clock.Moment(e.FirstMay))}
 	}
 	h.attempt, out.left = out, h.left
+	c.metrics.Attempts.Add(1)
 	c.traceCall(out)
 	return out
 }
@@ -206,6 +216,7 @@
 		c.records = append(c.records, journal.Record{Op: journal.OpDone, ID: id, At: now})
 	}
 	c.untold = append(c.untold, toldEnd{h.msg, end, heard})
+	c.metrics.Delivered.Add(1)
 	c.traceEnd(id, h, message.Delivered)
 	c.finish(id, h)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -98,6 +98,7 @@
 	stated     atomic.Pointer[terms] // what clients are held to
 	log        *slog.Logger
 	monitor    *permit.Monitor
+	metrics    Metrics
 	clock      *clock.Clock // of all times that outlive the process
 	store      Store
 	transport  Transport
@@ -162,6 +163,9 @@
 // Clock is the clock that deadlines of messages are of.
 func (c *Core) Clock() *clock.Clock { return c.clock }
 
+// Metrics are what the core counts.
+func (c *Core) Metrics() *Metrics { return &c.metrics }
+
 // Ready is closed once the fronts serve clients.
 func (c *Core) Ready() <-chan struct{} { return c.ready }
 
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -25,6 +25,7 @@
 	clear(c.records)
 	c.records = c.records[:0]
 	if err != nil {
+		c.metrics.JournalErrors.Add(1)
 		c.log.Error("journal", "err", err)
 	}
 	c.wroteBehind(err)
@@ -43,6 +44,8 @@
 	clear(c.behind.placed)
 	c.tellStates()
 	c.workBehind()
+	c.metrics.Held.Store(int64(c.open))
+	c.metrics.EndsWaiting.Store(int64(len(c.untold)))
 }
 
 // record adds what the module has decided to what the journal is to get.
@@ -78,6 +81,7 @@
 		id := p.msg.ID
 		switch answer, told := answers[id]; {
 		case told:
+			c.metrics.TurnedAway.Add(1)
 			p.tell(answer)
 		case c.behind.placed[id]:
 			if notBehind != nil {
@@ -86,12 +90,14 @@
 				p.tell(Answer{Verdict: Accepted, Again: c.fresh[id] != p.msg})
 			}
 		case err != nil && c.store.Entry(id) == nil: // not written, so not taken on
+			c.metrics.TurnedAway.Add(1)
 			p.tell(Answer{Verdict: Busy})
 			if c.fresh[id] == p.msg {
 				c.drop(id)
 				c.next = append(c.next, logic.ClientGone{ID: id})
 			}
 		default:
+			c.metrics.Accepted.Add(1)
 			p.tell(Answer{Verdict: Accepted, Again: c.fresh[id] != p.msg})
 		}
 	}
@@ -149,6 +155,9 @@
 			continue
 		}
 		if x.sink {
+			if e := c.store.Entry(x.end.ID); written && (e == nil || e.End == nil) {
+				c.monitor.Violated(permit.EndNotWritten, x.end.ID, "state", x.end.State)
+			}
 			c.tellEnd(x.msg, x.end)
 		}
 		c.ended = append(c.ended, x.end.ID)
@@ -220,6 +229,11 @@
 		}
 		if h := c.held[end.ID]; h != nil && !h.over {
 			c.finish(end.ID, h)
+			if end.State == message.Returned {
+				c.metrics.Returned.Add(1)
+			} else {
+				c.metrics.Failed.Add(1)
+			}
 			c.untold = append(c.untold, toldEnd{h.msg, end, true})
 		}
 	case logic.SetTimer:
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -81,13 +81,16 @@
 		memory = defaultMemory
 	}
 	p.front = resp.New(p.core, resp.Options{Listen: cfg.Listen, Connections: share.clients, Ending: share.ending,
-		Memory: int64(memory * (1 << 20) / largeShare), Numbers: true,
+		Memory: int64(memory * (1 << 20) / largeShare), Numbers: true, Monitor: monitor,
 		Ready: func() bool { return life.View().Ready }, Log: log})
 	return p, nil
 }
 
 func span(t logic.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
+// Metrics are what the sender counts.
+func (p *Platform) Metrics() (*core.Metrics, *permit.Monitor) { return p.core.Metrics(), p.monitor }
+
 // Run serves until ctx is cancelled, then shuts down in good order. At each signal
 // the configuration is read anew with load: its settings take the place of the old
 // ones, and discovery and notices move to the address that it names. What it says
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -37,6 +37,7 @@
 	resp    *resp.Front      // nil if it is not served
 	fronts  []core.Front
 	life    *lifecycle.Life
+	monitor *permit.Monitor
 	log     *slog.Logger
 }
 
@@ -79,7 +80,7 @@
 
 // assemble puts a daemon together from its file, and those parts that are there.
 func assemble(f *config.File, others *cluster.Cluster, parts core.Parts) (*Standalone, error) {
-	s := &Standalone{file: f, cluster: others, life: parts.Life, log: parts.Log}
+	s := &Standalone{file: f, cluster: others, life: parts.Life, monitor: parts.Monitor, log: parts.Log}
 	list, log := f.List(s.part()), parts.Log
 	s.source = static.New(list)
 	files := store.MostFiles(int64(f.Limits.DiskMB)*1e6) + backlogFiles(f)
@@ -142,13 +143,16 @@
 		s.fronts = append(s.fronts, s.http)
 	}
 	if r := f.Front.RESP; r != nil {
-		s.resp = resp.New(s.core.Door(n), resp.Options{Listen: r.Listen, Connections: share.clients / n, Ending: share.ending / n, Memory: memory,
+		s.resp = resp.New(s.core.Door(n), resp.Options{Listen: r.Listen, Connections: share.clients / n, Ending: share.ending / n, Memory: memory, Monitor: s.monitor,
 			Tenant: tenant,
 			Ready:  func() bool { return s.life.View().Ready }, Log: s.log})
 		s.fronts = append(s.fronts, s.resp)
 	}
 }
 
+// Metrics are what the daemon counts.
+func (s *Standalone) Metrics() (*core.Metrics, *permit.Monitor) { return s.core.Metrics(), s.monitor }
+
 // Core is the daemon's core.
 func (s *Standalone) Core() *core.Core { return s.core }
 
--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -44,8 +44,9 @@
 	// submit for any tenant.
 	Tenant func(token string) (tenant string, ok bool)
 	// Ready says what PING answers; nil for yes.
-	Ready func() bool
-	Log   *slog.Logger
+	Ready   func() bool
+	Monitor *permit.Monitor // counts connections that end with a request unanswered; nil for none
+	Log     *slog.Logger
 }
 
 // Front serves the RESP2 side: it accepts connections within the process's means
@@ -140,6 +141,7 @@
 			s.handle()
 			conn.Close()
 			c.remove(s)
+			s.traceClosed()
 		}()
 	}
 }
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -13,6 +13,7 @@
 
 	"cometrack/internal/core"
 	"cometrack/internal/netutil"
+	"cometrack/internal/permit"
 )
 
 const (
@@ -45,6 +46,11 @@
 	r       *bufio.Reader
 	queue   chan answer
 	written chan struct{}
+	closed  closeReason
+
+	// The writer's own until it has ended.
+	answers    int
+	unanswered int // requests read whole whose answers this end kept from being written
 
 	// Under the lock of the front.
 	open     int       // requests that have begun to come and are not answered
@@ -69,6 +75,48 @@
 	last  bool          // the connection ends after it
 }
 
+// closeReason says why a connection is closed.
+type closeReason string
+
+// The reasons.
+const (
+	closedByClient  closeReason = "ended by the client"
+	closedIdle      closeReason = "idle"
+	closedForRoom   closeReason = "to make room"
+	closedRetiring  closeReason = "the sender takes no more"
+	closedOver      closeReason = "the process ends"
+	closedProtocol  closeReason = "protocol error"
+	closedTimeout   closeReason = "request not complete in time"
+	closedErrors    closeReason = "too many errors"
+	closedOnRequest closeReason = "asked for"
+)
+
+// traceClosed logs why the connection was closed, and counts it if a request that was
+// read has no answer.
+func (s *session) traceClosed() {
+	s.c.log.Debug("client closed", "remote", s.conn.RemoteAddr().String(), "reason", string(s.closed), "answered", s.answers)
+	if s.unanswered > 0 {
+		s.c.opts.Monitor.Violated(permit.ClosedUnanswered, s.conn.RemoteAddr().String(), "requests", s.unanswered, "reason", string(s.closed))
+	}
+}
+
+// reasonToEnd is why a connection between requests ends; err is what its wait ended with.
+func (s *session) reasonToEnd(err error) closeReason {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	switch {
+	case s.c.over.Load():
+		return closedOver
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		return closedByClient
+	case !s.left.IsZero() || s.cut:
+		return closedForRoom
+	case s.c.retiring:
+		return closedRetiring
+	}
+	return closedIdle
+}
+
 func (s *session) handle() {
 	if s.await(true) { // here, where the stack is small yet
 		s.read()
@@ -130,6 +178,7 @@
 func (s *session) read() {
 	for first := true; first || s.await(false); first = false {
 		if n := s.errors.Load(); n >= maxErrors {
+			s.closed = closedErrors
 			s.send(answer{line: answerTooMany})
 			return
 		} else if n > 0 {
@@ -150,22 +199,26 @@
 			a.large = large
 			s.send(a)
 			if a.last {
+				s.closed = closedOnRequest
 				return
 			}
 			continue
 		case errors.Is(err, errProtocol):
+			s.closed = closedProtocol
 			s.send(answer{line: fmt.Sprintf("-ERR %v\r\n", err), large: large})
 			return
 		case errors.Is(err, errNoPlace):
 			s.send(answer{line: busyLine(0)})
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded) && live && !s.c.ends():
+			s.closed = closedTimeout
 			s.send(answer{line: answerTimeout, large: large})
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded) && live: // this end gives up: it was not taken on, and may come again
 			s.send(answer{line: busyLine(0), large: large})
 			return
 		}
+		s.closed = s.reasonToEnd(err)
 		s.send(answer{large: large})
 		return
 	}
@@ -214,6 +267,7 @@
 // await waits for the first byte of a request; false ends the connection.
 func (s *session) await(first bool) bool {
 	if s.c.over.Load() {
+		s.closed = closedOver
 		return false // nothing more is read
 	}
 	if s.r == nil || s.r.Buffered() == 0 {
@@ -231,12 +285,14 @@
 			}
 		}
 		if err != nil {
+			s.closed = s.reasonToEnd(err)
 			return false
 		}
 	}
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	if !s.live() {
+		s.closed = closedForRoom
 		return false
 	}
 	s.open++
@@ -316,6 +372,13 @@
 		if len(queue) == 0 {
 			err = errors.Join(err, s.flush(w))
 		}
+		switch {
+		case line == "":
+		case err == nil:
+			s.answers++
+		case errors.Is(err, net.ErrClosed): // by this end
+			s.unanswered++
+		}
 		s.answered()
 	}
 }
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cometrack/internal/standin/faultbuild"
+)
+
+// A short run of the soak, with every kind of fault, from two seeds. The long one is started by hand: measure soak.
+func TestShortSoak(t *testing.T) {
+	const (
+		senders = 6
+		length  = 6 * time.Second
+	)
+	path := filepath.Join(t.TempDir(), "cometrack")
+	if err := faultbuild.Build(path, "../../cmd/cometrack"); err != nil {
+		t.Fatal(err)
+	}
+	for _, seed := range []uint64{1, 2} {
+		r, err := Run(Options{Seed: seed, Senders: senders, Length: length, Binary: path, Dir: t.TempDir()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(r.Line(seed))
+		if r.Accepted < 100 || r.Delivered < 50 || r.Faults.Writes == 0 {
+			t.Error("too little has happened to prove anything")
+		}
+		if len(r.Violations) > 0 {
+			t.Logf("seed %d, the script:\n%s", seed, strings.Join(r.Script, "\n"))
+		}
+		for _, v := range r.Violations {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+	}
+}
+
+// The judge sees each broken invariant in a history that has it, and none in one that has not.
+func TestJudge(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	call := func(ms, over, status int) *Call {
+		c := &Call{At: at(ms), Ran: status != 503 && status != 429, Status: status}
+		if status == 0 {
+			c.Closed = at(over)
+		} else {
+			c.Answered = at(over)
+		}
+		return c
+	}
+	fine := func() *Message {
+		return &Message{ID: "m", Effect: Unsafe, Written: at(0), Deadline: at(1000), Answer: "+OK", Answered: at(1), Calls: []*Call{call(10, 20, 200)}}
+	}
+	for name, x := range map[string]struct {
+		change func(m *Message, r *Records)
+		want   string
+	}{
+		"fine":       {func(*Message, *Records) {}, ""},
+		"no end":     {func(m *Message, _ *Records) { m.Calls = nil }, "lost: no end"},
+		"a late end": {func(m *Message, _ *Records) { m.Calls, m.Notices = nil, []Notice{{at(1700), "failed"}} }, "lost: its end"},
+		"late, and being restarted": {func(m *Message, r *Records) {
+			m.Calls, m.Notices, r.outages[0] = nil, []Notice{{at(1700), "failed"}}, []Span{{at(900), at(1200)}}
+		}, ""},
+		"sent after its time":   {func(m *Message, _ *Records) { m.Calls = []*Call{call(1200, 1210, 200)} }, "after its time"},
+		"sent after its notice": {func(m *Message, _ *Records) { m.Notices = []Notice{{at(5), "failed"}} }, "after its notice"},
+		"returned and run": {func(m *Message, _ *Records) {
+			m.Calls[0] = call(10, 20, 500)
+			m.Notices = []Notice{{at(50), "returned"}}
+		}, "returned after a call that ran"},
+		"ran twice":       {func(m *Message, _ *Records) { m.Calls = append(m.Calls, call(100, 110, 200)) }, "ran 2 times"},
+		"safe, ran twice": {func(m *Message, _ *Records) { m.Effect = Safe; m.Calls = append(m.Calls, call(100, 110, 200)) }, ""},
+		"keyed, after its window": {func(m *Message, _ *Records) {
+			m.Effect, m.Deadline = Keyed, at(9000)
+			m.Calls = append(m.Calls, call(3000, 3010, 200))
+		}, "after its window"},
+		"two out": {func(m *Message, _ *Records) {
+			m.Effect = Safe
+			m.Calls = []*Call{call(10, 500, 0), call(100, 110, 200)}
+		}, "two attempts out"},
+		"refused and sent":            {func(m *Message, _ *Records) { m.Answer = "-BUSY" }, "refused and sent"},
+		"closed with no answer":       {func(m *Message, _ *Records) { m.Answer, m.Closed = "", at(600) }, "closed with no answer"},
+		"closed in crossing":          {func(m *Message, _ *Records) { m.Answer, m.Closed = "", at(100) }, ""},
+		"closed by a kill":            {func(m *Message, r *Records) { m.Answer, m.Closed, r.kills[0] = "", at(600), []time.Time{at(599)} }, ""},
+		"inside a wait":               {func(m *Message, _ *Records) { m.Calls[0].InWait = 200 * time.Millisecond }, "inside a told wait"},
+		"its client has left":         {func(m *Message, _ *Records) { m.Answer, m.Left, m.Calls = "", true, nil }, ""},
+		"the process says it, itself": {func(_ *Message, r *Records) { r.other = []string{"violation"} }, "process"},
+	} {
+		r, m := newRecords(), fine()
+		x.change(m, r)
+		r.add(m)
+		var rules []string
+		for _, v := range r.judge(start, repeatWindow, 0).Violations {
+			rules = append(rules, v.Rule)
+		}
+		if got := strings.Join(rules, "; "); (x.want == "") != (got == "") || !strings.Contains(got, x.want) {
+			t.Errorf("%s: %q, want %q", name, got, x.want)
+		}
+	}
+}
