--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"cometrack/internal/clock"
@@ -46,7 +47,9 @@
 // Journal keeps accepted messages in a store that outlives the process. All that
 // it knows is in memory too. It is not safe for concurrent use.
 type Journal struct {
+	storeMu  sync.RWMutex // of the field store, for those beside the owner
 	store    *store.Store
+	fs       vfs.FS
 	opts     Options
 	log      *slog.Logger
 	n        int64
@@ -61,6 +64,7 @@
 	buf      bytes.Buffer // values of the batch
 	undo     []undo
 	unsaid   []string // ids in the batch that is being put together
+	reviving bool     // the store has failed and is not whole again
 	behind   bool     // a write has failed, and what it was of is not in the store
 	// What the store does not have as it is here: messages by id, in the order in which they changed, and waits.
 	dirty      map[string]mark
@@ -75,14 +79,6 @@
 	lastTerms  int64
 }
 
-// mark says what of a message the store is to get.
-type mark byte
-
-const (
-	markMessage mark = 1 << iota
-	markState
-)
-
 // Open reads the journal in dir, and takes over a file that a version before 0.3
 // has left.
 func Open(dir string, opts Options) (*Journal, error) {
@@ -101,11 +97,11 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
-	st, err := store.Open(fs, store.Options{Limit: opts.Disk, Sync: opts.Sync, Every: opts.Every, Log: opts.Log})
+	st, err := openStore(fs, opts)
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	j := &Journal{store: st, opts: opts, log: opts.Log, entries: map[string]*Entry{}, waits: map[string]int64{}, dirty: map[string]mark{}, dirtyWaits: map[string]bool{},
+	j := &Journal{store: st, fs: fs, opts: opts, log: opts.Log, entries: map[string]*Entry{}, waits: map[string]int64{}, dirty: map[string]mark{}, dirtyWaits: map[string]bool{},
 		terms: map[int64]*Terms{}, dirtyTerms: map[int64]bool{}, passed: newPassed()}
 	j.ended = newEnded(opts.MostEnded, int64(endedPart*float64(st.Stats().Capacity)), func(id string) { j.mark(id, markState) })
 	j.partners = partners{by: map[string]*known{}, dirty: map[string]bool{}}
@@ -237,45 +233,6 @@
 	return nil
 }
 
-// startClock makes the clock that the times of the records are of, and says whether the time that has passed since they
-// were written is known. If it is not, no window for repeats is taken to be open.
-func (j *Journal) startClock(kept *clock.Epoch, over []*Ended) (known bool) {
-	latest := int64(0)
-	for _, e := range j.entries {
-		latest = max(latest, e.Accepted, e.FirstMay)
-		if e.End != nil {
-			latest = max(latest, e.End.At)
-		}
-	}
-	for _, x := range over {
-		latest = max(latest, x.Over)
-	}
-	j.clock, j.epoch, known = clock.Start(kept, latest)
-	j.newEpoch = kept == nil || *kept != j.epoch
-	if known {
-		return true
-	}
-	j.log.Warn("journal: how long ago it was written is not known; the wall clock is taken, and nothing that may have run is repeated by its key")
-	j.doubtWindows()
-	return false
-}
-
-// doubtWindows takes the windows for repeats of all that may have run for over.
-func (j *Journal) doubtWindows() {
-	for _, e := range j.entries {
-		if e.MayRun || e.Open {
-			e.FirstMay = longAgo
-			j.mark(e.ID, markState)
-		}
-	}
-}
-
-// longAgo is a time before all others.
-const longAgo = 1
-
-// Clock is the clock that the times in the journal are of.
-func (j *Journal) Clock() *clock.Clock { return j.clock }
-
 // Append takes records on in one go, so that a process that dies leaves all of
 // the earlier ones before any later one. On an error the caller must not act on a
 // message taken on or a send: they count as not having been. What only records
@@ -286,6 +243,9 @@
 	if len(recs) == 0 && !j.behind {
 		return nil
 	}
+	if err := j.revive(); err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
 	j.promised = 0
 	clear(j.undo)
 	j.undo = j.undo[:0]
@@ -320,6 +280,8 @@
 // Body reads the body of a message back that was left to the store; see
 // [Entry.Left]. It may be called beside all else.
 func (j *Journal) Body(id string) ([]byte, error) {
+	j.storeMu.RLock()
+	defer j.storeMu.RUnlock()
 	value, err := j.store.Get(keyMessage + id)
 	if err != nil {
 		return nil, fmt.Errorf("journal: the body of %q: %w", id, err)
@@ -337,265 +299,6 @@
 // ErrNoBody says that nothing is held under an id.
 var ErrNoBody = errors.New("not held")
 
-// undo takes back what must not count if it can't be written.
-type undo struct {
-	id  string // the message
-	run func()
-}
-
-// subject is the id of the message that a record is of.
-func (rec *Record) subject() string {
-	if rec.Entry != nil {
-		return rec.Entry.ID
-	}
-	return rec.ID
-}
-
-// apply brings the entries up to date with a record. What must not count if it
-// can't be written comes with a way to undo it.
-func (j *Journal) apply(rec *Record) (undo func()) {
-	switch rec.Op {
-	case OpAccept:
-		if rec.Entry == nil || j.entries[rec.Entry.ID] != nil {
-			return nil
-		}
-		e := rec.Entry
-		e.upgrade()
-		j.n++
-		e.n = j.n
-		j.entries[e.ID] = e
-		m := markMessage
-		if e.Tries > 0 || e.End != nil { // of an older file
-			m |= markState
-		}
-		j.mark(e.ID, m)
-		j.passed.set(e.Behind, true)
-		return func() {
-			delete(j.entries, e.ID)
-			j.passed.set(e.Behind, false)
-			j.mark(e.ID, markMessage|markState) // part of it may have been written
-		}
-	case OpWait:
-		j.waits[rec.ID] = max(j.waits[rec.ID], rec.At) // a shorter one takes nothing back
-		j.dirtyWaits[rec.ID] = true
-		if len(j.waits) > mostWaits {
-			j.dropWaits(j.clock.Now())
-		}
-		return nil
-	case OpPassed:
-		j.passed.set(rec.Behind, true)
-		return nil
-	case OpCleared:
-		j.passed.clear(rec.Behind, rec.Count)
-		return nil
-	case OpPartner:
-		j.applyPartner(rec.ID, rec.Partner)
-		return nil
-	case OpTerms:
-		if rec.Terms != nil {
-			j.applyTerms(rec.Terms)
-		}
-		return nil
-	case OpEnded:
-		if x := rec.Ended; x != nil {
-			j.n++
-			x.n = j.n
-			j.remember(x)
-		}
-		return nil
-	}
-	e := j.entries[rec.ID]
-	if e == nil {
-		return nil
-	}
-	j.mark(e.ID, markState)
-	switch rec.Op {
-	case OpSend:
-		tries, open, firstMay, firstZone := e.Tries, e.Open, e.FirstMay, e.FirstZone
-		e.Tries++
-		e.Open = true
-		if !e.MayRun {
-			e.FirstMay, e.FirstZone = rec.At, rec.Zone
-		}
-		return func() {
-			e.Tries, e.Open, e.FirstMay, e.FirstZone = tries, open, firstMay, firstZone
-			j.mark(e.ID, markState)
-		}
-	case OpOutcome:
-		e.Open = false
-		e.MayRun = e.MayRun || rec.MayRun
-	case OpEnd:
-		if rec.End == nil || e.End != nil {
-			return nil
-		}
-		e.EndDigest = e.Told()
-		e.End = rec.End
-		e.Body, e.Left = nil, 0
-		j.mark(e.ID, markMessage)
-	case OpDone, OpNoticed:
-		delete(j.entries, e.ID)
-		j.mark(e.ID, markMessage)
-		j.remember(j.endedOf(e, rec))
-	}
-	return nil
-}
-
-// endedOf is what is remembered of a message whose last record is rec.
-func (j *Journal) endedOf(e *Entry, rec *Record) *Ended {
-	x := &Ended{ID: e.ID, Tenant: e.Tenant, Partner: e.Partner, Class: e.Class, State: message.Delivered, Tries: e.Tries,
-		Accepted: e.Accepted, Over: rec.At, Digest: e.Told(), Until: e.Deadline, behind: e.Behind, n: e.n}
-	if e.End != nil {
-		x.State, x.AfterMS, x.Over = e.End.State, e.End.AfterMS, e.End.At
-	}
-	if k := j.opts.KeepEnded; k > 0 {
-		x.Until = x.Over + k.Microseconds()
-	}
-	return x
-}
-
-func (j *Journal) remember(x *Ended) {
-	j.ended.add(x)
-	j.mark(x.ID, markState)
-}
-
-func (j *Journal) mark(id string, m mark) {
-	if j.dirty[id] == 0 {
-		j.changed = append(j.changed, id)
-	}
-	j.dirty[id] |= m
-}
-
-// flush writes what the store does not have, in as many batches as it takes.
-func (j *Journal) flush() error {
-	err := j.writeAll()
-	if j.behind = err != nil; j.behind {
-		j.changed = slices.DeleteFunc(j.changed, func(id string) bool { return j.dirty[id] == 0 })
-	}
-	return err
-}
-
-// written notes that the store has the batch.
-func (j *Journal) written() {
-	for _, id := range j.unsaid {
-		delete(j.dirty, id)
-	}
-	j.unsaid = j.unsaid[:0]
-}
-
-func (j *Journal) writeAll() error {
-	b := &j.batch
-	j.unsaid = j.unsaid[:0]
-	b.Reset()
-	j.buf.Reset()
-	b.Owed = true // Room has seen to the room
-	commit := func(more int) error {
-		if b.Size()+int64(more) <= j.store.MaxBatch() {
-			return nil
-		}
-		err := j.store.Commit(b)
-		b.Reset()
-		if err == nil {
-			j.written()
-		}
-		return err
-	}
-	if j.newEpoch { // before all that has times
-		b.Put(keyClock, encode(&j.buf, &clockRecord{j.epoch.Boot, j.epoch.Offset}))
-	}
-	for n := range j.dirtyTerms { // before the messages that name them
-		if err := commit(mostTermsBytes); err != nil {
-			return err
-		}
-		if t := j.terms[n]; t != nil {
-			b.Put(termsKey(n), encode(&j.buf, t))
-		} else {
-			b.Forget(termsKey(n))
-		}
-	}
-	for _, id := range j.changed {
-		more := mostOther
-		if e := j.entries[id]; e != nil {
-			more += len(e.Body)
-		}
-		if err := commit(more); err != nil {
-			return err
-		}
-		j.put(b, id, j.dirty[id])
-		j.unsaid = append(j.unsaid, id)
-	}
-	for name := range j.dirtyWaits {
-		if err := commit(mostOther); err != nil {
-			return err
-		}
-		if until, ok := j.waits[name]; ok {
-			b.Put(keyWait+name, encode(&j.buf, &waitRecord{until}))
-		} else {
-			b.Forget(keyWait + name)
-		}
-	}
-	for name := range j.partners.dirty {
-		if err := commit(mostPartner); err != nil {
-			return err
-		}
-		j.putPartner(b, name)
-	}
-	// Last, and all at once: none is written unless each message that it says is here, is.
-	if err := commit(len(j.passed.dirty) * passedSize); err != nil {
-		return err
-	}
-	for n := range j.passed.dirty {
-		if p := j.passed.parts[n]; p != nil {
-			b.Put(passedKey(n), p.encode())
-		} else {
-			b.Delete(passedKey(n))
-		}
-	}
-	if err := j.store.Commit(b); err != nil {
-		return err
-	}
-	for name := range j.partners.dirty {
-		if k := j.partners.by[name]; k != nil {
-			k.value = nil
-		}
-	}
-	clear(j.partners.dirty)
-	clear(j.dirty)
-	clear(j.dirtyWaits)
-	j.newEpoch = false
-	clear(j.dirtyTerms)
-	clear(j.passed.dirty)
-	j.changed = j.changed[:0]
-	return nil
-}
-
-// put adds to a batch what the store is to have of a message.
-func (j *Journal) put(b *store.Batch, id string, m mark) {
-	e, x := j.entries[id], j.ended.byID[id]
-	if e != nil && e.End == nil {
-		if m&markMessage != 0 && e.Left == 0 { // one that is left is there
-			b.Put(keyMessage+id, messageOf(&j.buf, e))
-		}
-		if m&markState != 0 {
-			b.Put(keyState+id, stateOf(&j.buf, e))
-		}
-		return
-	}
-	// The end is written before the message goes: in between it is known twice rather than not at all.
-	if m&markState != 0 {
-		switch {
-		case e != nil:
-			b.Put(keyState+id, stateOf(&j.buf, e))
-		case x != nil && x.saved:
-			b.Put(keyState+id, overOf(&j.buf, x))
-		default:
-			b.Forget(keyState + id)
-		}
-	}
-	if m&markMessage != 0 {
-		b.Delete(keyMessage + id)
-	}
-}
-
 // Ended returns what is remembered of a message that is over; nil if nothing is.
 func (j *Journal) Ended(id string) *Ended { return j.ended.byID[id] }
 
@@ -638,6 +341,10 @@
 
 // Forget drops ends whose time is up.
 func (j *Journal) Forget(now int64) {
+	if err := j.revive(); err != nil {
+		j.log.Warn("journal: the store can't be opened again yet", "err", err)
+		return
+	}
 	j.ended.forget(now)
 	j.partners.forget(now)
 	j.dropTerms()
--- /dev/null
+++ b/internal/journal/revive_test.go
@@ -0,0 +1,93 @@
+package journal
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"cometrack/internal/store"
+	"cometrack/internal/vfs"
+)
+
+// unsynced is a folder whose syncs fail while it is told so.
+type unsynced struct {
+	vfs.FS
+	fail *atomic.Bool
+}
+
+func (f unsynced) Open(name string, create bool) (vfs.File, error) {
+	file, err := f.FS.Open(name, create)
+	return unsyncedFile{file, f.fail}, err
+}
+
+func (f unsynced) SyncDir() error {
+	if f.fail.Load() {
+		return syscall.EIO
+	}
+	return f.FS.SyncDir()
+}
+
+type unsyncedFile struct {
+	vfs.File
+	fail *atomic.Bool
+}
+
+func (f unsyncedFile) Sync() error {
+	if f.fail.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+// A sync that fails stops the store, and the journal opens it again by itself once the disk is well: what is held, its
+// bodies that lie in the store only, and what is remembered is written anew, and outlives a crash of the machine.
+func TestGoesOnAfterFailedSync(t *testing.T) {
+	mem, fail := vfs.NewMem(), &atomic.Bool{}
+	opts := plain
+	opts.Sync, opts.Bodies, opts.KeepEnded = store.SyncAlways, 100, time.Hour
+	j, err := OpenOn(unsynced{mem, fail}, opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustAppend(t, j, accept("small", 10), accept("large", 500), accept("done", 10), Record{Op: OpDone, ID: "done", At: j.Clock().Now()})
+	fail.Store(true)
+	if err := j.Append([]Record{accept("refused", 10)}); !errors.Is(err, store.ErrFailed) {
+		t.Fatalf("append with a sync that fails: %v", err)
+	}
+	if j.Entry("refused") != nil {
+		t.Error("what could not be synced counts")
+	}
+	for range 3 {
+		if err := j.Append([]Record{accept("again", 10)}); err == nil {
+			t.Fatal("taken on with a disk that fails")
+		}
+		j.Forget(j.Clock().Now())
+	}
+	fail.Store(false)
+	mustAppend(t, j, accept("after", 10))
+	if body, err := j.Body("large"); err != nil || len(body) != 500 {
+		t.Errorf("the body is read back as %d bytes: %v", len(body), err)
+	}
+	for _, loss := range vfs.Losses() {
+		lost := mem.Restart(loss, rand.New(rand.NewPCG(1, uint64(loss))))
+		j, err := OpenOn(lost, opts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, id := range []string{"small", "large", "after"} {
+			if j.Entry(id) == nil {
+				t.Errorf("loss %d: %s is lost", loss, id)
+			}
+		}
+		if body, err := j.Body("large"); err != nil || len(body) != 500 {
+			t.Errorf("loss %d: after the crash the body is %d bytes: %v", loss, len(body), err)
+		}
+		if j.Ended("done") == nil || j.Entry("refused") != nil || j.Entry("again") != nil {
+			t.Errorf("loss %d: ended %v, refused %v, again %v", loss, j.Ended("done"), j.Entry("refused"), j.Entry("again"))
+		}
+		j.Close()
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -262,6 +262,30 @@
 		Failed: s.failure != nil, Counts: s.counts}
 }
 
+// Failed says whether the store takes nothing since a sync failed, see [ErrFailed].
+func (s *Store) Failed() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.failure != nil
+}
+
+// Rotate begins a new segment, so that what is written from now on does not lie behind
+// bytes that may not last.
+func (s *Store) Rotate() error {
+	s.writer.Lock()
+	defer s.writer.Unlock()
+	if err := s.usable(); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	if g := s.active(); g == nil || g.size <= headerLen {
+		return nil
+	}
+	if err := s.rotate(); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
 // Room says whether records of so many bytes more may be taken on: whether they
 // and all that count already keep within the capacity, and compaction has not
 // fallen behind.
