--- a/internal/cluster/knowledge.go
+++ b/internal/cluster/knowledge.go
@@ -41,7 +41,7 @@
 	in    chan *replicate.Message
 
 	mu      sync.Mutex // of what follows
-	heard   map[facts.Subject]facts.Lesson
+	heard   map[facts.Subject]facts.Observation
 	order   []facts.Subject
 	lost    int // of both
 	waiting chan struct{}
@@ -52,7 +52,7 @@
 
 func newKnowledge() *knowledge {
 	return &knowledge{tells: make(chan finding, mostTells), in: make(chan *replicate.Message, inbox),
-		heard: map[facts.Subject]facts.Lesson{}, waiting: make(chan struct{}, 1)}
+		heard: map[facts.Subject]facts.Observation{}, waiting: make(chan struct{}, 1)}
 }
 
 // open makes the machine. It begins behind.
@@ -79,8 +79,8 @@
 	}
 }
 
-// put keeps lessons for whoever takes them, the newest of each subject.
-func (k *knowledge) put(list []facts.Lesson) {
+// put keeps observations for whoever takes them, the newest of each subject.
+func (k *knowledge) put(list []facts.Observation) {
 	if len(list) == 0 {
 		return
 	}
@@ -103,7 +103,7 @@
 }
 
 // Hear hands what others have learnt to take until ctx is over.
-func (c *Cluster) Hear(ctx context.Context, take func([]facts.Lesson)) {
+func (c *Cluster) Hear(ctx context.Context, take func([]facts.Observation)) {
 	k := c.lore
 	for {
 		select {
@@ -112,7 +112,7 @@
 		case <-k.waiting:
 		}
 		k.mu.Lock()
-		list := make([]facts.Lesson, 0, len(k.order))
+		list := make([]facts.Observation, 0, len(k.order))
 		for _, s := range k.order {
 			list = append(list, k.heard[s])
 		}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -187,7 +187,7 @@
 	r := ev.result
 	if r.Wait > 0 {
 		c.waits(ev.attempt.Endpoint, r.Wait)
-		c.share(Lesson{Wait: r.Wait}, ev.attempt.Endpoint)
+		c.share(Observation{Wait: r.Wait}, ev.attempt.Endpoint)
 	}
 	ended := h.over
 	done := r.Outcome == logic.Completed || r.Over
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,14 +54,14 @@
 	// Allowed is which part of each partner's rate may be used now, 0 to 1; nil for all
 	// that the source's weights tell. It may fall at any time.
 	Allowed func() float64
-	// Others are the senders with which lessons are shared; nil for none.
+	// Others are the senders with which observations are shared; nil for none.
 	Others Others
 	// Behind opens what keeps messages behind the windows of their destinations, once
 	// the store is open; nil, or a nil Backlog, for none: all are in the module. What is
 	// told belongs to that Backlog's Take.
 	Behind func(s Store, tell func(event any, quit <-chan struct{})) (Backlog, error)
 	// From is what another process hands over; nil for a start from the store alone.
-	From *Inheritance
+	From *Takeover
 }
 
 // Times are those of the lifecycle that the core keeps to.
@@ -94,7 +94,7 @@
 	reopen     func() (Store, error)
 	allowed    func() float64
 	others     Others // nil for none
-	from       *Inheritance
+	from       *Takeover
 	stated     atomic.Pointer[terms] // what clients are held to
 	log        *slog.Logger
 	monitor    *permit.Monitor
@@ -112,34 +112,34 @@
 	ready      chan struct{} // closed once clients are served
 
 	// What follows belongs to the loop.
-	dir      *directory
-	part     float64                     // of each rate that the weights are made for
-	marks    map[logic.EndpointID]uint64 // of the last lesson that the module was told
-	early    map[string]earlyWait        // by endpoint
-	heard    bool                        // the source itself has told of a list, in the life of this process
-	due      *time.Timer
-	token    uint64
-	start    time.Time
-	held     map[string]*held
-	open     int           // of held, those not over
-	sparedAt time.Time     // when what nothing refers to was last dropped
-	behind   behind        // what the module does not have
-	next     []logic.Event // for the next step
-	puts     []putEvent
-	fresh    map[string]*message.Message // of puts, those that are new, by id
-	asks     []stateEvent
-	records  []journal.Record
-	doors    []*Door
-	untold   []toldEnd // ends that are to be told once the journal holds them; no more than messages are held
-	ended    []string  // messages that are over since the last step
-	watchers map[string][]chan State
-	terms    *terms // what messages are taken on under
-	retunes  int
-	deciding context.Context             // over once another process decides
-	heir     *heirEvent                  // has asked
-	afar     map[string]*held            // attempts that another process has out, by message
-	storeMu  sync.RWMutex                // of the field store, for those beside the loop
-	past     map[string]*journal.Partner // what an earlier process knew of partners, until they are on the list
+	dir       *directory
+	part      float64                     // of each rate that the weights are made for
+	marks     map[logic.EndpointID]uint64 // of the last lesson that the module was told
+	early     map[string]earlyWait        // by endpoint
+	heard     bool                        // the source itself has told of a list, in the life of this process
+	due       *time.Timer
+	token     uint64
+	start     time.Time
+	held      map[string]*held
+	open      int           // of held, those not over
+	sparedAt  time.Time     // when what nothing refers to was last dropped
+	behind    behind        // what the module does not have
+	next      []logic.Event // for the next step
+	puts      []putEvent
+	fresh     map[string]*message.Message // of puts, those that are new, by id
+	asks      []stateEvent
+	records   []journal.Record
+	doors     []*Door
+	untold    []toldEnd // ends that are to be told once the journal holds them; no more than messages are held
+	ended     []string  // messages that are over since the last step
+	watchers  map[string][]chan State
+	terms     *terms // what messages are taken on under
+	retunes   int
+	deciding  context.Context             // over once another process decides
+	successor *successorEvent             // has asked
+	remote    map[string]*held            // attempts that another process has out, by message
+	storeMu   sync.RWMutex                // of the field store, for those beside the loop
+	past      map[string]*journal.Partner // what an earlier process knew of partners, until they are on the list
 }
 
 // New makes a core. Run starts it.
@@ -151,7 +151,7 @@
 	if parts.Life == nil {
 		parts.Life = lifecycle.NewLife(Times, parts.Log)
 	}
-	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, early: map[string]earlyWait{}, from: parts.From, openBehind: parts.Behind, afar: map[string]*held{}, log: parts.Log, monitor: parts.Monitor, clock: parts.Store.Clock(), store: parts.Store,
+	c := &Core{cfg: cfg, life: parts.Life, reopen: parts.Reopen, allowed: parts.Allowed, others: parts.Others, marks: map[logic.EndpointID]uint64{}, early: map[string]earlyWait{}, from: parts.From, openBehind: parts.Behind, remote: map[string]*held{}, log: parts.Log, monitor: parts.Monitor, clock: parts.Store.Clock(), store: parts.Store,
 		transport: parts.Transport, source: parts.Source, sink: parts.Sink, sender: sender,
 		events: make(chan any, eventRoom), done: make(chan struct{}), ready: make(chan struct{}),
 		dir: newDirectory(cfg.Zones, cfg.Settings.Kinds), start: time.Now(), due: time.NewTimer(time.Hour),
@@ -210,7 +210,7 @@
 		go f.Serve()
 	}
 	if c.others != nil {
-		go c.others.Hear(deciding, func(list []Lesson) { c.post(lessonsEvent(list)) })
+		go c.others.Hear(deciding, func(list []Observation) { c.post(observationsEvent(list)) })
 	}
 	c.log.Info("ready", attrs...)
 	c.life.Tell(lifecycle.Started)
@@ -229,10 +229,10 @@
 		c.from.close()
 		go c.hear(c.from.Link)
 	}
-	heir, err := c.loop(work, fronts, served, stopped)
-	if heir != nil && err == nil {
+	successor, err := c.loop(work, fronts, served, stopped)
+	if successor != nil && err == nil {
 		decided()
-		err = c.relay(heir, served, stopped)
+		err = c.relay(successor, served, stopped)
 	}
 	close(c.done)
 	cancel() // ends what clients are left
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -24,47 +24,47 @@
 	Close() error
 }
 
-// Heir is a process that has asked for the legacy of this one.
-type Heir interface {
+// Successor is a process that has asked for the snapshot of this one.
+type Successor interface {
 	Link
-	// Give sends the legacy with the listeners and says whether the heir decides from
+	// Give sends the snapshot with the listeners and says whether the successor decides from
 	// then on; else it is certain that it does not, and never will.
-	Give(legacy *handover.Legacy, listeners []net.Listener) (taken bool, err error)
-	// Listen tells what the heir sends from then on, until it ends: then gone is called.
+	Give(snapshot *handover.Snapshot, listeners []net.Listener) (taken bool, err error)
+	// Listen tells what the successor sends from then on, until it ends: then gone is called.
 	Listen(tell func(m any), gone func(error))
 }
 
-// heirEvent says that an heir has come.
-type heirEvent struct {
-	heir Heir
-	done chan error // has room; what became of it
+// successorEvent says that a successor has come.
+type successorEvent struct {
+	successor Successor
+	done      chan error // has room; what became of it
 }
 
-// HandOver hands over to an heir, and returns once the heir decides or has failed.
-func (c *Core) HandOver(heir Heir) error {
-	ev := heirEvent{heir, make(chan error, 1)}
+// HandOver hands over to a successor, and returns once the successor decides or has failed.
+func (c *Core) HandOver(successor Successor) error {
+	ev := successorEvent{successor, make(chan error, 1)}
 	return c.settle(ev, ev.done)
 }
 
-// askedFor notes an heir; the loop comes to rest first.
-func (c *Core) askedFor(ev heirEvent) {
+// askedFor notes a successor; the loop comes to rest first.
+func (c *Core) askedFor(ev successorEvent) {
 	switch {
-	case c.heir != nil || c.reopen == nil:
+	case c.successor != nil || c.reopen == nil:
 		ev.done <- fmt.Errorf("not now: another process is being handed over to, or this one can't hand over")
-	case len(c.afar) > 0:
+	case len(c.remote) > 0:
 		ev.done <- fmt.Errorf("not now: calls of the process before this one are still out")
 	case !c.life.Tell(lifecycle.SuccessorCame):
 		ev.done <- fmt.Errorf("not now: this process is %v", c.life.View().State)
 	default:
-		c.heir = &ev
+		c.successor = &ev
 	}
 }
 
-// handOver takes the step after which an heir decides; false if it does not, and
+// handOver takes the step after which a successor decides; false if it does not, and
 // this process goes on.
-func (c *Core) handOver(ev *heirEvent, fronts []Front) (bool, error) {
+func (c *Core) handOver(ev *successorEvent, fronts []Front) (bool, error) {
 	at := time.Now()
-	legacy, err := c.legacy(fronts)
+	snapshot, err := c.snapshot(fronts)
 	if err != nil { // what can't be written can't be handed over
 		c.life.Tell(lifecycle.SuccessorGone)
 		ev.done <- fmt.Errorf("not handed over: %w", err)
@@ -77,17 +77,17 @@
 		for _, f := range fronts {
 			listeners = append(listeners, f.Listener())
 		}
-		taken, err = ev.heir.Give(legacy, listeners)
+		taken, err = ev.successor.Give(snapshot, listeners)
 	}
 	if taken {
-		c.log.Info("handed over", "held", c.open, "calls_out", len(legacy.Calls), "took", time.Since(at))
+		c.log.Info("handed over", "held", c.open, "calls_out", len(snapshot.Calls), "took", time.Since(at))
 		c.life.Tell(lifecycle.TakenOver)
 		ev.done <- nil
 		return true, nil
 	}
 	c.log.Error("not handed over: this process goes on", "err", err, "took", time.Since(at))
 	ev.done <- fmt.Errorf("not handed over: %w", err)
-	if err := c.comeBack(legacy); err != nil {
+	if err := c.comeBack(snapshot); err != nil {
 		return false, err
 	}
 	c.life.Tell(lifecycle.SuccessorGone)
@@ -96,12 +96,12 @@
 
 // comeBack opens the store again. A process that can't, for another has it by now,
 // must not go on.
-func (c *Core) comeBack(legacy *handover.Legacy) error {
+func (c *Core) comeBack(snapshot *handover.Snapshot) error {
 	for tries := 1; ; tries++ {
 		store, err := c.reopen()
 		if err == nil {
-			if legacy != nil {
-				store.AddUnsaved(legacy.Ended)
+			if snapshot != nil {
+				store.AddUnsaved(snapshot.Ended)
 			}
 			c.storeMu.Lock()
 			c.store = store
@@ -122,11 +122,11 @@
 	}
 }
 
-// legacy tells all that an heir needs beside the journal, which is up to date after
+// snapshot tells all that a successor needs beside the journal, which is up to date after
 // it. Attempts that have not begun are kept from it.
-func (c *Core) legacy(fronts []Front) (*handover.Legacy, error) {
+func (c *Core) snapshot(fronts []Front) (*handover.Snapshot, error) {
 	now := time.Now()
-	out := &handover.Legacy{Format: handover.Format, At: c.clock.At(now), Heard: c.heard, Version: c.source.Version(),
+	out := &handover.Snapshot{Format: handover.Format, At: c.clock.At(now), Heard: c.heard, Version: c.source.Version(),
 		Partners: map[string]*journal.Partner{}, Listeners: len(fronts)}
 	busy := map[logic.EndpointID]bool{} // endpoints with calls
 	for _, h := range c.held {
--- a/internal/core/inherit.go
+++ b/internal/core/inherit.go
@@ -14,22 +14,22 @@
 
 // The side of a handover that takes over.
 
-// Inheritance is what another process hands over to this one.
-type Inheritance struct {
-	Legacy    *handover.Legacy
+// Takeover is what another process hands over to this one.
+type Takeover struct {
+	Snapshot  *handover.Snapshot
 	Listeners []net.Listener // of the fronts, in their order
-	Link      Bequest
+	Link      Predecessor
 }
 
-// Bequest is the link to the process that hands over.
-type Bequest interface {
+// Predecessor is the link to the process that hands over.
+type Predecessor interface {
 	Link
 	// Listen tells what that process sends, until it ends: then gone is called.
 	Listen(tell func(m any), gone func(error))
 }
 
 // listen gives a front its listener, if there is one.
-func (in *Inheritance) listen(f Front) {
+func (in *Takeover) listen(f Front) {
 	if in == nil {
 		return
 	}
@@ -42,7 +42,7 @@
 }
 
 // close closes listeners that no front serves any more.
-func (in *Inheritance) close() {
+func (in *Takeover) close() {
 	for _, ln := range in.Listeners {
 		ln.Close()
 	}
@@ -50,9 +50,9 @@
 }
 
 // list is the endpoints that were handed over.
-func (in *Inheritance) list() List {
+func (in *Takeover) list() List {
 	out := List{Whole: true}
-	for _, x := range in.Legacy.Endpoints {
+	for _, x := range in.Snapshot.Endpoints {
 		e := Endpoint{Name: x.Name, Addr: x.Addr, Zone: x.Zone, Kind: x.Kind, Partner: x.Partner, Weight: x.Weight}
 		if x.Drains || x.Gone {
 			e.State = logic.Draining
@@ -62,13 +62,13 @@
 	return out
 }
 
-// inherit hands the module what was handed over, and returns the calls that are
+// restoreSnapshot hands the module what was handed over, and returns the calls that are
 // out. It comes before the messages.
-func (c *Core) inherit() map[string]handover.Call {
+func (c *Core) restoreSnapshot() map[string]handover.Call {
 	if c.from == nil {
 		return nil
 	}
-	l := c.from.Legacy
+	l := c.from.Snapshot
 	c.heard = l.Heard
 	list := c.from.list()
 	c.next = append(c.next, logic.Endpoints{Form: logic.ListFull, Entries: c.dir.take(list)})
@@ -98,7 +98,7 @@
 
 // adopt books an attempt that the other process has out.
 func (c *Core) adopt(h *held, call handover.Call, in *logic.Call, e *journal.Entry, now int64) {
-	age := now - c.from.Legacy.At + call.Age
+	age := now - c.from.Snapshot.At + call.Age
 	ep, ok := c.dir.ids[call.Endpoint]
 	if !ok { // its list is ours, so it has gone meanwhile: the attempt counts, and its outcome too
 		c.dir.last++
@@ -108,7 +108,7 @@
 	a.state.Store(attemptBegun)
 	h.attempt, h.stop = a, func() { c.from.Link.Send(&handover.Cancel{ID: call.ID, Number: call.Number}) }
 	h.tries = call.Number + 1
-	c.afar[call.ID] = h
+	c.remote[call.ID] = h
 	if e != nil {
 		in.Past.MayRun = e.MayRun
 		in.Past.Age = logic.Micros(max(now-e.FirstMay, 0))
@@ -140,7 +140,7 @@
 	if c.from == nil {
 		return nil
 	}
-	c.log.Info("taken over", "held", len(c.held), "calls_out", len(c.afar), "endpoints", len(c.dir.eps))
+	c.log.Info("taken over", "held", len(c.held), "calls_out", len(c.remote), "endpoints", len(c.dir.eps))
 	if err := c.from.Link.Send(&handover.Taken{}); err != nil {
 		// The journal is ours, so this process decides; the calls that are out are in doubt, and hear says so.
 		c.log.Error("the process that handed over is gone", "err", err)
@@ -148,18 +148,18 @@
 	return nil
 }
 
-// afarEvent is what the process that handed over has told.
-type afarEvent struct{ list []handover.Outcome }
+// remoteOutcomesEvent is what the process that handed over has told.
+type remoteOutcomesEvent struct{ list []handover.Outcome }
 
-// afarGoneEvent says that it tells nothing any more.
-type afarGoneEvent struct{}
+// predecessorGoneEvent says that it tells nothing any more.
+type predecessorGoneEvent struct{}
 
 // hear takes what the process that handed over sends.
-func (c *Core) hear(link Bequest) {
+func (c *Core) hear(link Predecessor) {
 	link.Listen(func(m any) {
 		switch m := m.(type) {
 		case *handover.Outcomes:
-			c.post(afarEvent{m.List})
+			c.post(remoteOutcomesEvent{m.List})
 		case *handover.Put:
 			go c.forwarded(link, m)
 		case *handover.AskState:
@@ -169,7 +169,7 @@
 					After: s.After, Accepted: micro(s.Accepted), Deadline: micro(s.Deadline), Over: micro(s.Over)})
 			}()
 		}
-	}, func(error) { c.post(afarGoneEvent{}) })
+	}, func(error) { c.post(predecessorGoneEvent{}) })
 	link.Close()
 }
 
@@ -189,27 +189,27 @@
 	return t.UnixMicro()
 }
 
-// fromAfar takes outcomes of attempts that the other process had out.
-func (c *Core) fromAfar(list []handover.Outcome) {
+// remoteOutcomes takes outcomes of attempts that the other process had out.
+func (c *Core) remoteOutcomes(list []handover.Outcome) {
 	for _, o := range list {
-		h := c.afar[o.ID]
+		h := c.remote[o.ID]
 		if h == nil || h.attempt == nil || h.attempt.Number != o.Number {
 			continue
 		}
-		delete(c.afar, o.ID)
+		delete(c.remote, o.ID)
 		h.stop = func() {}
 		c.reply(reply{attempt: h.attempt, took: o.Took,
 			result: Result{Outcome: logic.Outcome(o.Outcome), Wait: o.Wait, Over: o.Over, Load: o.Load}})
 	}
 }
 
-// afarGone ends the attempts that nobody tells of any more: they may have run.
-func (c *Core) afarGone() {
-	if n := len(c.afar); n > 0 {
+// endRemoteAttempts ends the attempts that nobody tells of any more: they may have run.
+func (c *Core) endRemoteAttempts() {
+	if n := len(c.remote); n > 0 {
 		c.log.Warn("the process that handed over has ended with calls out", "calls", n)
 	}
-	for id, h := range c.afar {
-		delete(c.afar, id)
+	for id, h := range c.remote {
+		delete(c.remote, id)
 		h.stop = func() {}
 		c.reply(reply{attempt: h.attempt, took: time.Since(h.attempt.at), result: Result{Outcome: logic.Recalled}})
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -58,8 +58,8 @@
 // loop owns the module and all of the state: it takes what has come, lets the
 // module step, writes the journal and acts, at most once a tick.
 //
-// It returns the heir once another process decides.
-func (c *Core) loop(work context.Context, fronts []Front, served, stopped <-chan struct{}) (heir *heirEvent, err error) {
+// It returns the successor once another process decides.
+func (c *Core) loop(work context.Context, fronts []Front, served, stopped <-chan struct{}) (successor *successorEvent, err error) {
 	tick := max(span(c.cfg.Settings.Tick), time.Millisecond)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -101,10 +101,10 @@
 		for len(c.next) > 0 {
 			c.step(work)
 		}
-		if heir := c.heir; heir != nil && c.behind.looks == 0 {
-			c.heir = nil
-			if taken, err := c.handOver(heir, fronts); taken || err != nil {
-				return heir, err
+		if successor := c.successor; successor != nil && c.behind.looks == 0 {
+			c.successor = nil
+			if taken, err := c.handOver(successor, fronts); taken || err != nil {
+				return successor, err
 			}
 			continue
 		}
@@ -158,7 +158,7 @@
 // resume hands the module what the store holds, with what became of it so far, and
 // what another process has handed over.
 func (c *Core) resume() error {
-	out := c.inherit()
+	out := c.restoreSnapshot()
 	if c.cfg.Known != nil {
 		c.next = append(c.next, logic.Endpoints{Form: logic.ListCached, Entries: c.dir.take(*c.cfg.Known)})
 	}
@@ -168,7 +168,7 @@
 			if id, ok := c.dir.ids[name]; ok {
 				c.next = append(c.next, logic.Told{Endpoint: id, Left: logic.Micros(until - now)})
 				if left := time.Duration(until-now) * time.Microsecond; left > 0 { // the others may not have heard of it
-					c.share(Lesson{Wait: left}, id)
+					c.share(Observation{Wait: left}, id)
 				}
 			}
 		}
@@ -251,18 +251,18 @@
 		c.next = append(c.next, logic.HealthResult{Endpoint: ev.ep, Outcome: ev.outcome})
 	case News:
 		c.news(ev)
-	case lessonsEvent:
+	case observationsEvent:
 		c.hears(ev)
 	case confirmedEvent:
 		now := c.clock.Now()
 		for _, id := range ev.ids {
 			c.records = append(c.records, journal.Record{Op: journal.OpNoticed, ID: id, At: now})
 		}
-	case afarEvent:
-		c.fromAfar(ev.list)
-	case afarGoneEvent:
-		c.afarGone()
-	case heirEvent:
+	case remoteOutcomesEvent:
+		c.remoteOutcomes(ev.list)
+	case predecessorGoneEvent:
+		c.endRemoteAttempts()
+	case successorEvent:
 		c.askedFor(ev)
 	case retuneEvent:
 		c.retune(ev)
--- a/internal/core/others.go
+++ b/internal/core/others.go
@@ -10,11 +10,11 @@
 // What senders that know of each other tell each other of partners; the module
 // decides what it means.
 
-// lessonsEvent is what others have learnt.
-type lessonsEvent []Lesson
+// observationsEvent is what others have learnt.
+type observationsEvent []Observation
 
 // share tells the others what this sender has learnt itself.
-func (c *Core) share(l Lesson, ep logic.EndpointID) {
+func (c *Core) share(l Observation, ep logic.EndpointID) {
 	to, ok := c.dir.eps[ep]
 	if c.others == nil || !ok {
 		return
@@ -35,7 +35,7 @@
 // hears takes what others have learnt. What concerns an endpoint that is not on the
 // list, or has another partner there, is not for this sender; but waits are kept in
 // case it comes.
-func (c *Core) hears(list []Lesson) {
+func (c *Core) hears(list []Observation) {
 	for _, l := range list {
 		id, ok := c.dir.ids[l.Endpoint]
 		if !ok || c.dir.eps[id].partner != l.Partner {
--- a/internal/core/others_test.go
+++ b/internal/core/others_test.go
@@ -10,14 +10,14 @@
 )
 
 // crowd stands for the other senders.
-type crowd struct{ told, say chan Lesson }
+type crowd struct{ told, say chan Observation }
 
-func (c crowd) Tell(l Lesson) { c.told <- l }
-func (c crowd) Hear(ctx context.Context, take func([]Lesson)) {
+func (c crowd) Tell(l Observation) { c.told <- l }
+func (c crowd) Hear(ctx context.Context, take func([]Observation)) {
 	for {
 		select {
 		case l := <-c.say:
-			take([]Lesson{l})
+			take([]Observation{l})
 		case <-ctx.Done():
 			return
 		}
@@ -29,38 +29,38 @@
 func TestOthers(t *testing.T) {
 	cfg, dir := testConfig(), t.TempDir()
 	cfg.KeepWaits, cfg.Settings.Share = true, true
-	others := crowd{make(chan Lesson, 64), make(chan Lesson)}
+	others := crowd{make(chan Observation, 64), make(chan Observation)}
 	start := func() *rig {
 		r := newRig(t, dir, cfg)
 		r.others = others
 		return r.run()
 	}
 	r := start()
-	others.say <- Lesson{Partner: "acme", Endpoint: "e9", Wait: time.Hour}
-	others.say <- Lesson{Partner: "later", Endpoint: "e8", Wait: time.Hour}
-	others.say <- Lesson{Partner: "other", Endpoint: "e1", Wait: time.Hour}
+	others.say <- Observation{Partner: "acme", Endpoint: "e9", Wait: time.Hour}
+	others.say <- Observation{Partner: "later", Endpoint: "e8", Wait: time.Hour}
+	others.say <- Observation{Partner: "other", Endpoint: "e1", Wait: time.Hour}
 	const wait = 400 * time.Millisecond
 	at := time.Now()
-	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Wait: wait}
-	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Wait: wait / 2} // the longer one holds; and the loop has had the first
+	others.say <- Observation{Partner: "acme", Endpoint: "e1", Wait: wait}
+	others.say <- Observation{Partner: "acme", Endpoint: "e1", Wait: wait / 2} // the longer one holds; and the loop has had the first
 	r.put(newMessage("a", "safe"))
 	in := byhand.Await(t, r.hand.attempts, "attempt")
 	if d := time.Since(at); d < wait {
 		t.Errorf("called %v after the news of a wait of %v", d, wait)
 	}
 	in.result <- Result{Outcome: logic.Full, Wait: 100 * time.Millisecond}
-	if l := byhand.Await(t, others.told, "lesson"); l != (Lesson{Partner: "acme", Endpoint: "e1", Wait: 100 * time.Millisecond}) {
+	if l := byhand.Await(t, others.told, "lesson"); l != (Observation{Partner: "acme", Endpoint: "e1", Wait: 100 * time.Millisecond}) {
 		t.Errorf("told %+v", l)
 	}
 	in = byhand.Await(t, r.hand.attempts, "attempt")
-	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Out: true, Mark: 7}
-	others.say <- Lesson{Partner: "acme", Endpoint: "e9", Out: true} // the loop has had the one before
+	others.say <- Observation{Partner: "acme", Endpoint: "e1", Out: true, Mark: 7}
+	others.say <- Observation{Partner: "acme", Endpoint: "e9", Out: true} // the loop has had the one before
 	r.state("a")
 	in.result <- Result{Outcome: logic.Completed} // to a call from before: tells nothing
 	byhand.Await(t, r.ends.told, "end")
 	r.put(newMessage("b", "safe"))
 	(byhand.Await(t, r.hand.attempts, "attempt")).result <- Result{Outcome: logic.Completed}
-	if l := byhand.Await(t, others.told, "lesson"); l != (Lesson{Partner: "acme", Endpoint: "e1", Back: true, Mark: 7}) {
+	if l := byhand.Await(t, others.told, "lesson"); l != (Observation{Partner: "acme", Endpoint: "e1", Back: true, Mark: 7}) {
 		t.Errorf("told %+v", l)
 	}
 
@@ -68,8 +68,8 @@
 	d := newMessage("d", "safe")
 	d.Partner = "later"
 	r.put(d)
-	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Wait: time.Hour}
-	others.say <- Lesson{Partner: "acme", Endpoint: "e1", Wait: time.Second}
+	others.say <- Observation{Partner: "acme", Endpoint: "e1", Wait: time.Hour}
+	others.say <- Observation{Partner: "acme", Endpoint: "e1", Wait: time.Second}
 	r.put(newMessage("c", "safe")) // the journal has it by now
 	select {                       // nothing goes to either endpoint
 	case in := <-r.hand.attempts:
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -7,17 +7,17 @@
 )
 
 // What a process does once another decides: its calls and clients come to their
-// ends here, and the heir hears of all of it.
+// ends here, and the successor hears of all of it.
 
-// mostForwarded bounds the requests that wait for the heir.
+// mostForwarded bounds the requests that wait for the successor.
 const mostForwarded = 1024
 
 // relay forwards until no call is out and no client is left.
-func (c *Core) relay(ev *heirEvent, served, stopped <-chan struct{}) error {
-	heir := ev.heir
-	defer heir.Close()
+func (c *Core) relay(ev *successorEvent, served, stopped <-chan struct{}) error {
+	successor := ev.successor
+	defer successor.Close()
 	told, gone := make(chan any, mostForwarded), make(chan struct{})
-	go heir.Listen(func(m any) {
+	go successor.Listen(func(m any) {
 		select {
 		case told <- m:
 		case <-c.done:
@@ -30,7 +30,7 @@
 		}
 	}
 	puts, asks, seq := map[uint64]putEvent{}, map[uint64]stateEvent{}, uint64(0)
-	lost := func() { // nobody knows what became of what the heir had
+	lost := func() { // nobody knows what became of what the successor had
 		for seq, ev := range puts {
 			ev.tell(Answer{Verdict: Failed})
 			delete(puts, seq)
@@ -52,12 +52,12 @@
 			switch x := x.(type) {
 			case putEvent:
 				if gone == nil || len(puts) >= mostForwarded {
-					x.tell(Answer{Verdict: Busy}) // the heir has never had it
+					x.tell(Answer{Verdict: Busy}) // the successor has never had it
 					continue
 				}
 				seq++
 				puts[seq] = x
-				heir.Send(&handover.Put{Seq: seq, Message: *x.msg}) // if it fails, the heir is gone
+				successor.Send(&handover.Put{Seq: seq, Message: *x.msg}) // if it fails, the successor is gone
 			case stateEvent:
 				if gone == nil || len(asks) >= mostForwarded {
 					x.answer <- State{ID: x.id}
@@ -65,7 +65,7 @@
 				}
 				seq++
 				asks[seq] = x
-				heir.Send(&handover.AskState{Seq: seq, ID: x.id})
+				successor.Send(&handover.AskState{Seq: seq, ID: x.id})
 			case replyEvent:
 				list := handover.Outcomes{}
 				for _, r := range x {
@@ -77,13 +77,13 @@
 					}
 				}
 				if len(list.List) > 0 {
-					heir.Send(&list)
+					successor.Send(&list)
 				}
 			case retuneEvent:
 				if x.done != nil {
 					x.done <- ErrStopped
 				}
-			case heirEvent:
+			case successorEvent:
 				x.done <- ErrStopped
 			case closingEvent: // what is out by then is called off, so that its end is known
 				time.AfterFunc(x.left, func() { c.post(callOffEvent{}) })
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -110,8 +110,8 @@
 	Version() int64
 }
 
-// Lesson is what a sender has learnt of an endpoint, itself or from another one.
-type Lesson struct {
+// Observation is what a sender has learnt of an endpoint, itself or from another one.
+type Observation struct {
 	Partner  string
 	Endpoint string        // its name
 	Wait     time.Duration // it has told to be left alone for so long from now
@@ -123,12 +123,12 @@
 	Mark uint64
 }
 
-// Others are senders with which lessons are shared.
+// Others are senders with which observations are shared.
 type Others interface {
 	// Tell has the others told what this sender has learnt itself. It never waits.
-	Tell(Lesson)
+	Tell(Observation)
 	// Hear has what others have learnt handed to take, in order, until ctx is over.
-	Hear(ctx context.Context, take func([]Lesson))
+	Hear(ctx context.Context, take func([]Observation))
 }
 
 // EndSink is told how messages ended.
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -246,7 +246,7 @@
 	case logic.Listen:
 		c.watch()
 	case logic.Learnt:
-		c.share(Lesson{Out: a.Out, Back: !a.Out}, a.Endpoint)
+		c.share(Observation{Out: a.Out, Back: !a.Out}, a.Endpoint)
 	case logic.Log:
 		c.log.Info(a.Text)
 	}
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -18,17 +18,17 @@
 )
 
 const (
-	askTime     = 10 * time.Second       // for a legacy, once it has been asked for; the other process may be busy
+	askTime     = 10 * time.Second       // for a snapshot, once it has been asked for; the other process may be busy
 	askPause    = 50 * time.Millisecond  // between two attempts to become the owner
-	takenTime   = 2 * time.Second        // for an heir to say that it has taken a legacy
+	takenTime   = 2 * time.Second        // for a successor to say that it has taken a snapshot
 	fencePause  = 20 * time.Millisecond  // between two looks at the lock of one that was ended
 	fenceTime   = 5 * time.Second        // for the lock to come free
 	acceptRetry = 200 * time.Millisecond // after a failed accept
 )
 
-// acquire waits until this process may open the journal in dir: as the heir of the
+// acquire waits until this process may open the journal in dir: as the successor of the
 // process that has it, or because nobody has it. It returns what open has opened.
-func acquire[J any](ctx context.Context, dir string, open func() (J, error), log *slog.Logger) (kept J, in *core.Inheritance, err error) {
+func acquire[J any](ctx context.Context, dir string, open func() (J, error), log *slog.Logger) (kept J, in *core.Takeover, err error) {
 	said := false
 	for {
 		in, err := ask(dir)
@@ -64,8 +64,8 @@
 	errNotNow = errors.New("nothing is handed over now")
 )
 
-// ask asks the process that has the journal in dir for its legacy.
-func ask(dir string) (*core.Inheritance, error) {
+// ask asks the process that has the journal in dir for its snapshot.
+func ask(dir string) (*core.Takeover, error) {
 	c, err := handover.Dial(dir, askPause)
 	if err != nil {
 		return nil, errNobody
@@ -78,7 +78,7 @@
 	return in, nil
 }
 
-func askOn(c *handover.Conn) (*core.Inheritance, error) {
+func askOn(c *handover.Conn) (*core.Takeover, error) {
 	if err := c.Send(&handover.Ask{Format: handover.Format}); err != nil {
 		return nil, err
 	}
@@ -93,11 +93,11 @@
 		}
 	}()
 	switch m := m.(type) {
-	case *handover.Legacy:
+	case *handover.Snapshot:
 		if m.Format != handover.Format || m.Listeners != len(files) {
-			return nil, fmt.Errorf("a legacy of format %d with %d of %d listeners", m.Format, len(files), m.Listeners)
+			return nil, fmt.Errorf("a snapshot of format %d with %d of %d listeners", m.Format, len(files), m.Listeners)
 		}
-		in := &core.Inheritance{Legacy: m, Link: link{c}}
+		in := &core.Takeover{Snapshot: m, Link: link{c}}
 		for _, f := range files {
 			ln, err := net.FileListener(f)
 			if err != nil {
@@ -111,7 +111,7 @@
 	case *handover.Refuse:
 		return nil, errors.New(m.Reason)
 	default:
-		return nil, fmt.Errorf("%T in the place of a legacy", m)
+		return nil, fmt.Errorf("%T in the place of a snapshot", m)
 	}
 }
 
@@ -139,16 +139,16 @@
 	}
 }
 
-// heir is a process that has asked.
-type heir struct {
+// successor is a process that has asked.
+type successor struct {
 	link
 	dir   string
 	log   *slog.Logger
-	given bool // it has been sent the legacy, or may have been
+	given bool // it has been sent the snapshot, or may have been
 }
 
-// Give is [core.Heir.Give].
-func (h *heir) Give(legacy *handover.Legacy, listeners []net.Listener) (taken bool, err error) {
+// Give is [core.Successor.Give].
+func (h *successor) Give(snapshot *handover.Snapshot, listeners []net.Listener) (taken bool, err error) {
 	h.given = true
 	s := handover.Situation{}
 	var files []int
@@ -159,7 +159,7 @@
 		}
 		files = append(files, fd)
 	}
-	if err = h.SendWith(legacy, files); err != nil {
+	if err = h.SendWith(snapshot, files); err != nil {
 		s.Gone = true
 	}
 	by := time.Now().Add(takenTime)
@@ -207,7 +207,7 @@
 
 // tryLock looks whether the journal's lock is free. A third process that takes it
 // right after is found by whoever opens the journal then.
-func (h *heir) tryLock() handover.Lock {
+func (h *successor) tryLock() handover.Lock {
 	fs, err := vfs.OpenDir(h.dir)
 	if err != nil {
 		return handover.Another
@@ -235,10 +235,10 @@
 	return n, err
 }
 
-// serveHeirs waits for processes that ask, until one has taken over or ctx is over.
+// serveSuccessors waits for processes that ask, until one has taken over or ctx is over.
 // Without a socket nothing is handed over, and the next process starts from the
 // journal once this one has ended.
-func serveHeirs(ctx context.Context, dir string, c *core.Core, log *slog.Logger) {
+func serveSuccessors(ctx context.Context, dir string, c *core.Core, log *slog.Logger) {
 	l, err := handover.Listen(dir)
 	if err != nil {
 		log.Warn("an upgrade will start from the journal", "err", err)
@@ -257,14 +257,14 @@
 			time.Sleep(acceptRetry)
 			continue
 		}
-		if serveHeir(conn, dir, c, log) {
+		if serveSuccessor(conn, dir, c, log) {
 			return
 		}
 	}
 }
 
-// serveHeir deals with one that asks, and says whether it has taken over.
-func serveHeir(conn *handover.Conn, dir string, c *core.Core, log *slog.Logger) bool {
+// serveSuccessor deals with one that asks, and says whether it has taken over.
+func serveSuccessor(conn *handover.Conn, dir string, c *core.Core, log *slog.Logger) bool {
 	conn.Within(time.Now().Add(takenTime))
 	m, _, err := conn.Receive()
 	asked, ok := m.(*handover.Ask)
@@ -276,7 +276,7 @@
 		err = fmt.Errorf("it asks for format %d; this process speaks %d", asked.Format, handover.Format)
 	default:
 		conn.Within(time.Time{})
-		h := &heir{link: link{conn}, dir: dir, log: log}
+		h := &successor{link: link{conn}, dir: dir, log: log}
 		if err = c.HandOver(h); err == nil {
 			return true
 		}
--- a/internal/daemon/others.go
+++ b/internal/daemon/others.go
@@ -41,11 +41,11 @@
 	return s.cluster.Share()
 }
 
-// lessons is how the core hears of other senders, and they of it.
-type lessons struct{ *cluster.Cluster }
+// observations is how the core hears of other senders, and they of it.
+type observations struct{ *cluster.Cluster }
 
 // Tell has the others told.
-func (x lessons) Tell(l core.Lesson) {
+func (x observations) Tell(l core.Observation) {
 	if l.Wait > 0 {
 		x.TellWait(l.Partner, l.Endpoint, l.Wait)
 		return
@@ -54,11 +54,11 @@
 }
 
 // Hear hands on what the others tell.
-func (x lessons) Hear(ctx context.Context, take func([]core.Lesson)) {
-	x.Cluster.Hear(ctx, func(list []facts.Lesson) {
-		out := make([]core.Lesson, 0, len(list))
+func (x observations) Hear(ctx context.Context, take func([]core.Observation)) {
+	x.Cluster.Hear(ctx, func(list []facts.Observation) {
+		out := make([]core.Observation, 0, len(list))
 		for _, l := range list {
-			out = append(out, core.Lesson{Partner: l.Partner, Endpoint: l.Endpoint, Wait: l.Left, Out: l.Out, Back: l.Back, Turn: l.Turn, Mark: l.Mark})
+			out = append(out, core.Observation{Partner: l.Partner, Endpoint: l.Endpoint, Wait: l.Left, Out: l.Out, Back: l.Back, Turn: l.Turn, Mark: l.Mark})
 		}
 		take(out)
 	})
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -57,7 +57,7 @@
 	}
 	share := shareOut(descriptors(cfg.Limits.Sockets, log), set.Slots, store.MostFiles(int64(cfg.Limits.DiskMB*1e6)-config.KeptRoom), consoleFiles(cfg.Console))
 	if from != nil {
-		cfg.Known.Generation = from.Legacy.Version
+		cfg.Known.Generation = from.Snapshot.Version
 	}
 	monitor := permit.NewMonitor(log)
 	p := &Platform{cfg: cfg, monitor: monitor, log: log, life: life, source: platform.New(cfg.Discovery, cfg.Known, !set.OnRequest, log), sink: notices.New(cfg.Discovery, log)}
@@ -103,7 +103,7 @@
 	go func() {
 		select {
 		case <-p.core.Ready():
-			serveHeirs(work, dir, p.core, p.log)
+			serveSuccessors(work, dir, p.core, p.log)
 		case <-work.Done():
 		}
 	}()
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -65,7 +65,7 @@
 		}
 		parts.Allowed = others.Allowed
 		if f.Shares() {
-			parts.Others = lessons{others}
+			parts.Others = observations{others}
 		}
 	}
 	s, err := assemble(f, others, parts)
@@ -173,7 +173,7 @@
 	go func() {
 		select {
 		case <-s.core.Ready():
-			serveHeirs(work, dir, s.core, s.log)
+			serveSuccessors(work, dir, s.core, s.log)
 		case <-work.Done():
 		}
 	}()
--- a/internal/daemon/upgrade_kill_test.go
+++ b/internal/daemon/upgrade_kill_test.go
@@ -108,7 +108,7 @@
 			cur = p
 			continue
 		}
-		// The heir is dead. If it had taken over, the old one ends when its calls have.
+		// The successor is dead. If it had taken over, the old one ends when its calls have.
 		if alive := func() bool {
 			for by := time.Now().Add(byhand.Patience); time.Now().Before(by); {
 				select {
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -19,7 +19,7 @@
 // stallIn names the folder in which a copy of the test program takes over a journal's lock and says nothing more.
 const stallIn = "COMETRACK_TEST_STALL"
 
-// stall is an heir that hangs in the worst place: it has the lock and has not said so.
+// stall is a successor that hangs in the worst place: it has the lock and has not said so.
 func stall(dir string) {
 	c, err := handover.Dial(dir, time.Second)
 	if err == nil {
@@ -88,7 +88,7 @@
 	}
 }
 
-// Calls that are out stay out: their outcomes count, a told wait holds for the heir, what is held goes on, a
+// Calls that are out stay out: their outcomes count, a told wait holds for the successor, what is held goes on, a
 // half-sent request is answered where it was begun, and the old process ends by itself.
 func TestUpgradeWithCallsOut(t *testing.T) {
 	x := newPair(t)
@@ -135,7 +135,7 @@
 	}
 }
 
-// Both together keep to the slots of one: with all out at the old process, the heir waits for their outcomes.
+// Both together keep to the slots of one: with all out at the old process, the successor waits for their outcomes.
 func TestUpgradeCountsSlots(t *testing.T) {
 	x := newPair(t)
 	c := dial(t, x.old.addr)
@@ -175,7 +175,7 @@
 	x.finish(next)
 }
 
-// The heir is killed right after the step: the journal has all that was taken on, for the start after.
+// The successor is killed right after the step: the journal has all that was taken on, for the start after.
 func TestUpgradeThenKillHeir(t *testing.T) {
 	x := newPair(t)
 	c := dial(t, x.old.addr)
@@ -232,12 +232,12 @@
 			}
 			c.Close()
 		},
-		"goes with the legacy": func(t *testing.T, x *pair) {
-			ask(t, x, handover.Format, &handover.Legacy{}).Close()
+		"goes with the snapshot": func(t *testing.T, x *pair) {
+			ask(t, x, handover.Format, &handover.Snapshot{}).Close()
 			x.old.says("not handed over")
 		},
 		"says nothing": func(t *testing.T, x *pair) {
-			ask(t, x, handover.Format, &handover.Legacy{})
+			ask(t, x, handover.Format, &handover.Snapshot{})
 			x.old.says("not handed over")
 		},
 		"another format": func(t *testing.T, x *pair) { ask(t, x, 99, &handover.Refuse{}) },
--- a/internal/facts/copy_test.go
+++ b/internal/facts/copy_test.go
@@ -156,10 +156,10 @@
 	}
 }
 
-func (w *world) learn(i int, s Subject) Lesson {
+func (w *world) learn(i int, s Subject) Observation {
 	list := w.copies[i].Learn(w.local(i), []Subject{s})
 	if len(list) == 0 {
-		return Lesson{}
+		return Observation{}
 	}
 	return list[0]
 }
--- a/internal/facts/rules.go
+++ b/internal/facts/rules.go
@@ -9,9 +9,9 @@
 
 // What holds of a subject, where senders say different things of it.
 
-// Lesson is what others have learnt, as far as this sender is to know it. Of the
+// Observation is what others have learnt, as far as this sender is to know it. Of the
 // fields after Subject those of its kind are set.
-type Lesson struct {
+type Observation struct {
 	Subject
 	Left Time // Wait: until its end
 	Out  bool // Health: somebody has found it out, and nobody here has had an answer since
@@ -76,9 +76,9 @@
 
 // Learn is what is new of some subjects since it was last asked for. What this
 // sender has told itself is left out.
-func (c *Copy) Learn(now Time, subjects []Subject) (out []Lesson) {
+func (c *Copy) Learn(now Time, subjects []Subject) (out []Observation) {
 	for _, s := range subjects {
-		was, is, lesson := c.told[s], told{}, Lesson{Subject: s}
+		was, is, lesson := c.told[s], told{}, Observation{Subject: s}
 		list := c.holds(now, s)
 		for _, e := range list {
 			switch s.Kind {
--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -63,7 +63,7 @@
 	ending   int               // of them, those that end
 	closing  bool              // no new connection is taken, and old ones end
 	retiring bool              // connections end between requests
-	hurried  bool              // and soon, if a request has begun to come
+	leaving  bool              // and soon, if a request has begun to come
 	over     atomic.Bool       // the process ends: nothing more is read
 	acceptor *netutil.Acceptor // nil before Serve
 	accepted chan struct{}     // closed when no connection is accepted any more; nil before any is
@@ -254,24 +254,24 @@
 		return
 	}
 	if c.retiring = on; on {
-		c.hurry()
+		c.wakeReaders()
 	}
 }
 
-// hurry wakes the readers, which look for a request that has begun to come. It is
+// wakeReaders wakes the readers, which look for a request that has begun to come. It is
 // called under the lock.
-func (c *Front) hurry() {
+func (c *Front) wakeReaders() {
 	for s := range c.sessions {
 		at := time.Now()
 		by := s.opened.Add(firstRetired)
 		switch {
 		case s.shut:
 			at = at.Add(lastRequest)
-		case s.open > 0 && !c.hurried: // it may have come in part, and has its time
+		case s.open > 0 && !c.leaving: // it may have come in part, and has its time
 			continue
 		case s.open > 0:
 			at = at.Add(lastRequest)
-		case !c.hurried && !s.served && by.After(at):
+		case !c.leaving && !s.served && by.After(at):
 			at = by
 		}
 		s.conn.SetReadDeadline(at)
@@ -291,8 +291,8 @@
 		}
 	}
 	c.mu.Lock()
-	c.closing, c.retiring, c.hurried = true, true, hurry
-	c.hurry()
+	c.closing, c.retiring, c.leaving = true, true, hurry
+	c.wakeReaders()
 	c.mu.Unlock()
 	done := make(chan struct{})
 	go func() { c.wg.Wait(); close(done) }()
--- a/internal/front/resp/front_test.go
+++ b/internal/front/resp/front_test.go
@@ -170,7 +170,7 @@
 	}
 	defer ln.Close()
 	f := New(yes{}, Options{Log: slog.New(slog.DiscardHandler)})
-	f.ln, f.closing, f.retiring, f.hurried = ln, true, true, true
+	f.ln, f.closing, f.retiring, f.leaving = ln, true, true, true
 	c := dial(t, f)
 	conn, err := ln.Accept()
 	if err != nil {
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -250,14 +250,14 @@
 
 // deadline sets how long the reader waits: while serving, while connections retire,
 // and while they do in a hurry. One that is told to end waits for nothing.
-func (s *session) deadline(serving, retiring, hurried time.Duration) {
+func (s *session) deadline(serving, retiring, leaving time.Duration) {
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	switch {
 	case !s.left.IsZero():
 		serving = 0
-	case s.c.hurried:
-		serving = min(serving, hurried)
+	case s.c.leaving:
+		serving = min(serving, leaving)
 	case s.c.retiring:
 		serving = min(serving, retiring)
 	}
--- a/internal/handover/arbiter.go
+++ b/internal/handover/arbiter.go
@@ -1,7 +1,7 @@
 package handover
 
 // What a process that hands over does while it does not know whether its successor
-// has taken the legacy.
+// has taken the snapshot.
 
 // Situation is what it knows.
 type Situation struct {
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -12,7 +12,7 @@
 // has ended.
 const Format = 1
 
-// Ask asks for the legacy of the process that listens.
+// Ask asks for the snapshot of the process that listens.
 type Ask struct {
 	Format int `cbor:"1,keyasint"`
 }
@@ -22,9 +22,9 @@
 	Reason string `cbor:"1,keyasint"`
 }
 
-// Legacy is what a process hands over beside its journal. Times are those of the
+// Snapshot is what a process hands over beside its journal. Times are those of the
 // journal's clock; times and spans are in microseconds.
-type Legacy struct {
+type Snapshot struct {
 	Format    int                         `cbor:"1,keyasint"`
 	At        int64                       `cbor:"2,keyasint"`
 	Heard     bool                        `cbor:"3,keyasint"` // the source has told of a list itself
@@ -65,7 +65,7 @@
 	Left int64  `cbor:"2,keyasint"`
 }
 
-// Taken says that the legacy has arrived and the journal is open: from here on the
+// Taken says that the snapshot has arrived and the journal is open: from here on the
 // sender of it decides.
 type Taken struct{}
 
@@ -108,7 +108,7 @@
 	List []Outcome `cbor:"1,keyasint"`
 }
 
-// Outcome is that of one attempt of a [Legacy]'s calls.
+// Outcome is that of one attempt of a [Snapshot]'s calls.
 type Outcome struct {
 	ID      string        `cbor:"1,keyasint"`
 	Number  int           `cbor:"2,keyasint"`
@@ -127,7 +127,7 @@
 
 // kinds are the messages, by the byte that names them on the wire.
 var kinds = [...]func() any{
-	1: func() any { return &Ask{} }, 2: func() any { return &Refuse{} }, 3: func() any { return &Legacy{} },
+	1: func() any { return &Ask{} }, 2: func() any { return &Refuse{} }, 3: func() any { return &Snapshot{} },
 	4: func() any { return &Taken{} }, 5: func() any { return &Put{} }, 6: func() any { return &Answer{} },
 	7: func() any { return &AskState{} }, 8: func() any { return &State{} }, 9: func() any { return &Outcomes{} },
 	10: func() any { return &Cancel{} },
@@ -139,7 +139,7 @@
 		return 1
 	case *Refuse:
 		return 2
-	case *Legacy:
+	case *Snapshot:
 		return 3
 	case *Taken:
 		return 4
--- a/internal/replicate/machine.go
+++ b/internal/replicate/machine.go
@@ -63,7 +63,7 @@
 // Ready is what is to be done after a step.
 type Ready struct {
 	Send    []Envelope
-	Lessons []facts.Lesson
+	Lessons []facts.Observation
 	Event   string // for the log; empty for none
 }
 
--- a/internal/standin/hollow/fleet.go
+++ b/internal/standin/hollow/fleet.go
@@ -199,7 +199,7 @@
 			return fmt.Errorf("hollow: %s: %w", name(i), err)
 		}
 		ctx, deaf := context.WithCancel(context.Background())
-		go c.Hear(ctx, func([]facts.Lesson) {})
+		go c.Hear(ctx, func([]facts.Observation) {})
 		s.mu.Lock()
 		s.life, s.deaf = c, deaf
 		s.mu.Unlock()
--- a/internal/store/checkpoint.go
+++ b/internal/store/checkpoint.go
@@ -315,7 +315,7 @@
 
 // recoverFast recovers from the checkpoint and the segments from its place on; ok is
 // false if that can't be, and everything is to be read.
-func (s *Store) recoverFast(d *dig) (ok bool, err error) {
+func (s *Store) recoverFast(d *scan) (ok bool, err error) {
 	c, err := s.readCheckpoint()
 	if errors.Is(err, errCheckpoint) {
 		return false, nil
@@ -354,7 +354,7 @@
 }
 
 // adopt takes over a segment as the checkpoint knows it, if it is the same one.
-func (s *Store) adopt(g *segment, number uint32, d *dig) (bool, error) {
+func (s *Store) adopt(g *segment, number uint32, d *scan) (bool, error) {
 	if g == nil {
 		return false, nil
 	}
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -192,7 +192,7 @@
 			return fmt.Errorf("a key of %d bytes: %w", len(o.key), ErrTooLarge)
 		}
 	}
-	rest := headerLen + 2*plan.Block + int64(len(s.buried)+len(w.batch.ops))*burialSize
+	rest := headerLen + 2*plan.Block + int64(len(s.tombstones)+len(w.batch.ops))*tombstoneSize
 	if more := need + int64(len(p.buf)) + rest; !s.bounds.Fits(s.used, more, w.batch.Owed) {
 		p.flush()
 		if err := s.makeRoom(need+rest, w.batch.Owed); err != nil {
@@ -223,7 +223,7 @@
 	p.open = true
 	p.s.mu.Lock() // until flush
 	p.old, p.seq, p.live = *p.s.active(), p.s.seq, p.s.live
-	p.dug = len(p.s.buried)
+	p.dug = len(p.s.tombstones)
 }
 
 // apply frames a change and brings the index up to date.
@@ -262,10 +262,10 @@
 	f.start = len(p.buf) == 0 && p.s.clean()
 	p.buf = appendFrame(p.buf, g.salt, int(g.size), f)
 	if f.kind == kindDel {
-		g.bury(f)
-		p.s.bury(f)
+		g.addTombstone(f)
+		p.s.addTombstone(f)
 	} else if f.kind == kindSum {
-		g.bury(f)
+		g.addTombstone(f)
 	}
 }
 
@@ -294,7 +294,7 @@
 		}
 		g.live, g.tombs, g.lo, g.hi = p.old.live, p.old.tombs, p.old.lo, p.old.hi
 		s.seq, s.live = p.seq, p.live
-		s.buried = s.buried[:p.dug]
+		s.tombstones = s.tombstones[:p.dug]
 		for _, w := range p.of {
 			w.err = err
 		}
@@ -446,6 +446,6 @@
 	s.used += plan.Blocks(g.size)
 	s.counts.Written += g.size
 	s.synced = g.size
-	s.buried = s.buried[:0]
+	s.tombstones = s.tombstones[:0]
 	return nil
 }
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -71,12 +71,12 @@
 }
 
 // survey looks at what files there are.
-func (s *Store) survey() (*dig, error) {
+func (s *Store) survey() (*scan, error) {
 	names, err := s.fs.List()
 	if err != nil {
 		return nil, err
 	}
-	d := &dig{sizes: map[uint32]int64{}}
+	d := &scan{sizes: map[uint32]int64{}}
 	for _, name := range names {
 		if n, ok := segNumber(name); ok {
 			d.numbers = append(d.numbers, n)
@@ -104,7 +104,7 @@
 }
 
 // recoverSegments reads segments and brings the index up to date with them.
-func (s *Store) recoverSegments(numbers []uint32, d *dig) error {
+func (s *Store) recoverSegments(numbers []uint32, d *scan) error {
 	for i, n := range numbers {
 		if err := s.recoverSegment(n, i == len(numbers)-1, d); err != nil {
 			return err
@@ -125,7 +125,7 @@
 	}
 	s.account(d)
 	if s.found.Doubt() {
-		if err := s.buryAgain(d); err != nil {
+		if err := s.rewriteTombstones(d); err != nil {
 			return err
 		}
 	}
@@ -141,7 +141,7 @@
 
 // account counts what lives in each segment. What stood in one that is gone is
 // dead: a segment goes once all that counts has been copied behind the checkpoint.
-func (s *Store) account(d *dig) {
+func (s *Store) account(d *scan) {
 	by, dead := map[uint32]*segment{}, [][]byte(nil)
 	for _, g := range s.segs {
 		by[g.number] = g
@@ -172,7 +172,7 @@
 }
 
 // recoverSegment reads one segment.
-func (s *Store) recoverSegment(number uint32, last bool, d *dig) error {
+func (s *Store) recoverSegment(number uint32, last bool, d *scan) error {
 	name := segName(number)
 	file, err := s.fs.Open(name, false)
 	if err != nil {
@@ -198,7 +198,7 @@
 		size = lastWhole(b, g.salt)
 	}
 	s.segs = append(s.segs, g)
-	s.buried = s.buried[:0]
+	s.tombstones = s.tombstones[:0]
 	damage, end := walk(b[:size], g.salt, headerLen, func(f *frame) bool {
 		s.found.Records++
 		s.replay(g, f, d)
@@ -266,8 +266,8 @@
 	return end
 }
 
-// dig is what recovery learns on its way.
-type dig struct {
+// scan is what recovery learns on its way.
+type scan struct {
 	numbers []uint32         // of the segments that there are
 	kept    int64            // bytes set aside
 	beyond  bool             // an entry is for what lies behind the end of its segment
@@ -283,17 +283,17 @@
 
 // replay brings the index up to date with a record. Of two values the later one in
 // the log counts; a deletion may have been copied behind a later value.
-func (s *Store) replay(g *segment, f *frame, d *dig) {
+func (s *Store) replay(g *segment, f *frame, d *scan) {
 	s.seq = max(s.seq, f.seq)
 	switch f.kind {
 	case kindDel:
-		g.bury(f)
-		s.bury(f)
+		g.addTombstone(f)
+		s.addTombstone(f)
 		if at, had := s.index.Get(f.key); had && at.seq < f.seq {
 			s.index.Delete(f.key)
 		}
 	case kindSum:
-		g.bury(f)
+		g.addTombstone(f)
 		d.sums = append(d.sums, sumAt{g, loc{off: uint32(f.off), size: uint32(f.size)}})
 	case kindPut:
 		now := loc{seq: f.seq, seg: g.number, off: uint32(f.off), size: uint32(f.size), first: g.number}
@@ -305,7 +305,7 @@
 }
 
 // noHeader takes a segment away whose header can't be read.
-func (s *Store) noHeader(name string, b []byte, last bool, d *dig) error {
+func (s *Store) noHeader(name string, b []byte, last bool, d *scan) error {
 	if last && (len(b) <= headerLen || len(bytes.Trim(b, "\x00")) == 0) {
 		s.found.Cut += int64(len(b)) // it was being made
 		return s.remove(name)
@@ -328,7 +328,7 @@
 }
 
 // setAside copies a damaged stretch to a file of its own.
-func (s *Store) setAside(name string, b []byte, x span, d *dig) error {
+func (s *Store) setAside(name string, b []byte, x span, d *scan) error {
 	aside := fmt.Sprintf("%s%s-%d", damagedPrefix, name, x.from)
 	report := Damage{Segment: name, From: int64(x.from), To: int64(x.to)}
 	size := int64(x.to - x.from)
--- a/internal/store/segment.go
+++ b/internal/store/segment.go
@@ -114,8 +114,8 @@
 	return b[:n], err
 }
 
-// bury notes a deletion.
-func (g *segment) bury(f *frame) {
+// addTombstone notes a deletion.
+func (g *segment) addTombstone(f *frame) {
 	g.tombs += int64(f.size)
 	if g.lo > g.hi {
 		g.lo, g.hi = f.first, f.last
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,17 +87,17 @@
 	leading bool      // one of those that commit leads a group, or is about to
 
 	// writer is held by the one that writes; what follows is its own.
-	writer  sync.Mutex
-	write1  pending
-	victim  *victim
-	scratch []byte // of the victim's bytes
-	doomed  []*segment
-	synced  int64    // of the active segment; all others are synced
-	buried  []burial // deletions in the active segment
-	seed    uint64   // of their hashes
-	torn    bool     // bytes behind the active segment's size are to be cut first
-	closed  bool
-	failure error
+	writer     sync.Mutex
+	write1     pending
+	victim     *victim
+	scratch    []byte // of the victim's bytes
+	doomed     []*segment
+	synced     int64       // of the active segment; all others are synced
+	tombstones []tombstone // deletions in the active segment
+	seed       uint64      // of their hashes
+	torn       bool        // bytes behind the active segment's size are to be cut first
+	closed     bool
+	failure    error
 
 	// mu guards what readers need. Only the writer changes it.
 	mu     sync.RWMutex
--- a/internal/store/sums.go
+++ b/internal/store/sums.go
@@ -11,11 +11,11 @@
 // as hashes of the keys: were only one place for them, damage there would make
 // the keys come alive. A sum frame is read when damage was found, else never.
 
-// burial is one deletion.
-type burial struct{ hash, seq uint64 }
+// tombstone is one deletion.
+type tombstone struct{ hash, seq uint64 }
 
 const (
-	burialSize = 16
+	tombstoneSize = 16
 	// sumMost deletions stand in one sum frame: copies of it stay small.
 	sumMost = 1024
 )
@@ -26,17 +26,17 @@
 	return h.Sum64()
 }
 
-// bury notes a deletion in the active segment.
-func (s *Store) bury(f *frame) {
-	if n := len(s.buried); n > 0 && s.buried[n-1].seq == f.seq { // written twice
+// addTombstone notes a deletion in the active segment.
+func (s *Store) addTombstone(f *frame) {
+	if n := len(s.tombstones); n > 0 && s.tombstones[n-1].seq == f.seq { // written twice
 		return
 	}
-	s.buried = append(s.buried, burial{hashOf(s.seed, f.key), f.seq})
+	s.tombstones = append(s.tombstones, tombstone{hashOf(s.seed, f.key), f.seq})
 }
 
 // appendSums frames the deletions of segment number, to stand in g.
 func (s *Store) appendSums(b []byte, g *segment, base int, number uint32) []byte {
-	for list := s.buried; len(list) > 0; {
+	for list := s.tombstones; len(list) > 0; {
 		n := min(len(list), sumMost)
 		value := binary.LittleEndian.AppendUint64(nil, s.seed)
 		for _, x := range list[:n] {
@@ -46,16 +46,16 @@
 		f := frame{kind: kindSum, seq: list[n-1].seq, value: value, first: number, last: number, start: len(b) == 0 && s.clean()}
 		b = appendFrame(b, g.salt, base, &f)
 		if number != g.number {
-			g.bury(&f)
+			g.addTombstone(&f)
 		}
 		list = list[n:]
 	}
 	return b
 }
 
-// buryAgain takes keys out of the index whose deletion is lost and stands in a sum
+// rewriteTombstones takes keys out of the index whose deletion is lost and stands in a sum
 // only.
-func (s *Store) buryAgain(d *dig) error {
+func (s *Store) rewriteTombstones(d *scan) error {
 	bySeed := map[uint64]map[uint64]uint64{}
 	for _, x := range d.sums {
 		f, err := x.g.frameAt(x.at)
@@ -69,7 +69,7 @@
 		if bySeed[seed] == nil {
 			bySeed[seed] = map[uint64]uint64{}
 		}
-		for v := f.value[8:]; len(v) >= burialSize; v = v[burialSize:] {
+		for v := f.value[8:]; len(v) >= tombstoneSize; v = v[tombstoneSize:] {
 			h := binary.LittleEndian.Uint64(v)
 			bySeed[seed][h] = max(bySeed[seed][h], binary.LittleEndian.Uint64(v[8:]))
 		}
--- a/internal/transport/http/batch.go
+++ b/internal/transport/http/batch.go
@@ -21,8 +21,8 @@
 	Body []byte `json:"body"` // Base64 in the text
 }
 
-// fate is what became of one of them.
-type fate struct {
+// itemResult is what became of one of them.
+type itemResult struct {
 	ID    string `json:"id"`
 	State string `json:"state"`
 }
@@ -107,19 +107,19 @@
 			}
 		},
 		write: func(b []byte, left time.Duration) []byte { return appendBatch(b, sent, head.Addr, left) }})
-	var fates map[string]core.Result
+	var results map[string]core.Result
 	if whole.Outcome == logic.Completed {
-		fates = readFates(answer.Bytes(), whole)
+		results = readItemResults(answer.Bytes(), whole)
 	}
 	out := make([]core.Result, len(call))
 	for i, a := range call {
-		switch fate, told := fates[a.Message.ID]; {
+		switch itemResult, told := results[a.Message.ID]; {
 		case !begun[i]:
 			out[i] = core.Result{Outcome: logic.Moot}
 		case whole.Outcome != logic.Completed:
 			out[i] = whole
 		case told:
-			out[i] = fate
+			out[i] = itemResult
 		default: // it may have run, as far as the answer goes
 			out[i] = core.Result{Outcome: logic.Spoilt, Wait: whole.Wait}
 		}
@@ -127,10 +127,10 @@
 	return out
 }
 
-// readFates reads the body of a 200 to a call with several messages. What it does
+// readItemResults reads the body of a 200 to a call with several messages. What it does
 // not say plainly is left out; a body that can't be read says nothing.
-func readFates(body []byte, whole core.Result) map[string]core.Result {
-	var list []fate
+func readItemResults(body []byte, whole core.Result) map[string]core.Result {
+	var list []itemResult
 	if json.Unmarshal(body, &list) != nil {
 		return nil
 	}
--- a/internal/transport/http/batch_test.go
+++ b/internal/transport/http/batch_test.go
@@ -57,9 +57,9 @@
 	result := func(o logic.Outcome) core.Result { return core.Result{Outcome: o} }
 	all := func(r core.Result) []core.Result { return []core.Result{r, r, r} }
 	const ok = "HTTP/1.1 200 OK\r\n"
-	list := func(head string, fates ...string) string {
+	list := func(head string, results ...string) string {
 		var parts []string
-		for i, s := range fates {
+		for i, s := range results {
 			parts = append(parts, fmt.Sprintf(`{"id":"m%d","state":%q}`, i, s))
 		}
 		body := "[" + strings.Join(parts, ",") + "]"
