--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 )
 
@@ -31,10 +33,18 @@
 	}
 }
 
+// plays is how many seeds of each variant are played; PLAYS asks for others.
+func plays(usual uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("PLAYS"), 10, 32); err == nil {
+		return n
+	}
+	return usual
+}
+
 func TestRulesUnderRandomOutcomes(t *testing.T) {
 	for name, set := range variants() {
 		t.Run(name, func(t *testing.T) {
-			for seed := uint64(1); seed <= 20; seed++ {
+			for seed := uint64(1); seed <= plays(20); seed++ {
 				newWorld(t, set, seed).play()
 			}
 		})
@@ -47,7 +57,7 @@
 	for name, set := range variants() {
 		t.Run(name, func(t *testing.T) {
 			set.Remember = true
-			for seed := uint64(1); seed <= 6; seed++ {
+			for seed := uint64(1); seed <= plays(6); seed++ {
 				w := newWorld(t, set, seed)
 				w.restarts = true
 				w.play()
@@ -60,7 +70,7 @@
 func TestRulesOverUpgrades(t *testing.T) {
 	for name, set := range variants() {
 		t.Run(name, func(t *testing.T) {
-			for seed := uint64(1); seed <= 12; seed++ {
+			for seed := uint64(1); seed <= plays(12); seed++ {
 				w := newWorld(t, set, seed)
 				w.upgrades = true
 				w.play()
