Split the module's files by the kind of decision

Change: scheduling, dispatch, admission, retry, slow_start, rate_limit, latency, health, endpoint_list, tuning beside logic, gate and outcomes; only places have changed, and three names (unreliable, opensAt, noteOutage).

--- a/logic/pass.go
+++ b/logic/dispatch.go
@@ -49,7 +49,7 @@
 		case s.shut(d) > s.now:
 			d.shutIn, d.again = s.step, s.shut(d)
 			c.m = nil
-		case m.class.Effect != Unsafe || s.now >= m.first+m.class.Aim || !s.shy(d) ||
+		case m.class.Effect != Unsafe || s.now >= m.first+m.class.Aim || !s.unreliable(d) ||
 			s.kind(d).Batch > 1 && c.passed < lookMost: // it may join a call that opens later in this pass
 			c.passed++
 			s.advance(c)
@@ -104,7 +104,7 @@
 func (s *Sender) shut(d *dest) Micros {
 	at := never
 	for _, e := range d.eps {
-		x := s.door(e)
+		x := s.opensAt(e)
 		if o := e.open; o != nil && o.step == s.step && o.n < s.kind(d).Batch {
 			x = s.now + 1
 			for _, g := range d.groups { // it may take more
--- a/logic/memory.go
+++ b/logic/memory.go
@@ -90,10 +90,6 @@
 	return m
 }
 
-func (s *Sender) isCold(e *endpoint) bool {
-	return e.cold && (e.suspect || s.now < e.backAt+s.set.WarmAfter)
-}
-
 func sixteenths(w float64) uint16 { return uint16(min(max(math.Round(16*w), 0), math.MaxUint16)) }
 
 func (s *Sender) laneMemory(l *lane) LaneMemory {
