--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -275,6 +275,14 @@
 	return http.StatusOK
 }
 
+// Stall is the longest time that this machine has let a goroutine wait since the start:
+// what is seen may be that late.
+func (p *Partner) Stall() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stall
+}
+
 // Calls lists what came, in order.
 func (p *Partner) Calls() []Call {
 	p.mu.Lock()
