--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -146,12 +146,15 @@
 // tellEnds tells of what has ended, as far as package permit allows it: what the journal
 // does not hold yet waits for the next good write, which a timer sees to.
 func (c *Core) tellEnds(written bool) {
-	kept := c.untold[:0]
+	kept, again := c.untold[:0], retryPause
 	for _, x := range c.untold {
 		end := permit.End{Written: written, Delivered: x.end.State == message.Delivered, Left: time.Until(c.clock.Moment(x.msg.Deadline))}
 		if reason := permit.TellEnd(end); reason != permit.Granted {
 			c.monitor.Refused(reason, "tell end", x.end.ID)
 			kept = append(kept, x)
+			if end.Left > 0 {
+				again = min(again, end.Left)
+			}
 			continue
 		}
 		if x.sink {
@@ -165,7 +168,7 @@
 	clear(c.untold[len(kept):])
 	c.untold = kept
 	if len(kept) > 0 {
-		time.AfterFunc(retryPause, func() { c.post(writeEvent{}) })
+		time.AfterFunc(again, func() { c.post(writeEvent{}) })
 	}
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -209,14 +210,13 @@
 	return err
 }
 
-// freeAddress is a loopback address that nobody listens at.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+// clientPort is where each sender listens for clients, at an address of its own.
+const clientPort = 6379
+
+// listenAddress is the loopback address of a sender. It is of this process and run alone, so
+// that no other has its port after a restart.
+func listenAddress(seed uint64, number int) string {
+	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 1+seed%250, 1+number), strconv.Itoa(clientPort))
 }
 
 // logFile takes the log of a sender over its restarts.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -123,12 +123,9 @@
 }
 
 func (f *fleet) newSender(o Options, i int) (*sender, error) {
-	addr, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
-	s := &sender{number: i, addr: addr, dir: filepath.Join(o.Dir, fmt.Sprint("state-", i)), config: filepath.Join(o.Dir, fmt.Sprintf("config-%d.json", i)),
+	s := &sender{number: i, addr: listenAddress(o.Seed, i), dir: filepath.Join(o.Dir, fmt.Sprint("state-", i)), config: filepath.Join(o.Dir, fmt.Sprintf("config-%d.json", i)),
 		binary: o.Binary, platform: f.platform, records: f.records, loseFolder: o.LoseFolder}
+	var err error
 	if err := os.RemoveAll(s.dir); err != nil { // of an earlier run with this seed
 		return nil, err
 	}
@@ -141,6 +138,7 @@
 	if s.controls, err = faultbuild.NewControls(filepath.Join(o.Dir, fmt.Sprint("faults-", i))); err != nil {
 		return nil, err
 	}
+	s.controls.SetWall(f.clockStep(rand.New(rand.NewPCG(o.Seed, uint64(100+i))))) // off before the first start too
 	return s, s.writeConfig(o.Senders, f.pushed)
 }
 
