--- a/internal/netutil/accept.go
+++ b/internal/netutil/accept.go
@@ -46,6 +46,8 @@
 const (
 	// acceptPause is the wait before another accept where one can't succeed at once.
 	acceptPause = 5 * time.Millisecond
+	// lostPause keeps errors that come again and again from using up a processor.
+	lostPause = time.Millisecond
 	// shortFor is how long the system may be short until descriptors of one's own are given
 	// back all the same.
 	shortFor = 100 * time.Millisecond
@@ -67,7 +69,7 @@
 		}
 		return acceptPause, now.Sub(b.since) >= shortFor
 	}
-	return 0, false
+	return lostPause, false
 }
 
 // accepted notes that an accept has succeeded.
