--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -79,11 +79,14 @@
 			m.Effect = Safe
 			m.Calls = []*Call{call(10, 500, 0), call(100, 110, 200)}
 		}, "two attempts out"},
-		"refused and sent":            {func(m *Message, _ *Records) { m.Answer = "-BUSY" }, "refused and sent"},
-		"closed with no answer":       {func(m *Message, _ *Records) { m.Answer, m.Closed = "", at(600) }, "closed with no answer"},
-		"closed in crossing":          {func(m *Message, _ *Records) { m.Answer, m.Closed = "", at(100) }, ""},
-		"closed by a kill":            {func(m *Message, r *Records) { m.Answer, m.Closed, r.kills[0] = "", at(600), []time.Time{at(599)} }, ""},
-		"inside a wait":               {func(m *Message, _ *Records) { m.Calls[0].InWait = 200 * time.Millisecond }, "inside a told wait"},
+		"refused and sent":      {func(m *Message, _ *Records) { m.Answer = "-BUSY" }, "refused and sent"},
+		"closed with no answer": {func(m *Message, _ *Records) { m.Answer, m.Closed = "", at(600) }, "closed with no answer"},
+		"closed in crossing":    {func(m *Message, _ *Records) { m.Answer, m.Closed = "", at(100) }, ""},
+		"closed by a kill":      {func(m *Message, r *Records) { m.Answer, m.Closed, r.kills[0] = "", at(600), []time.Time{at(599)} }, ""},
+		"inside a wait":         {func(m *Message, _ *Records) { m.Calls[0].InWait = 200 * time.Millisecond }, "inside a told wait"},
+		"inside a wait, held up": {func(m *Message, r *Records) {
+			m.Calls[0].InWait, r.stalls[0] = 200*time.Millisecond, []Span{{at(-250), at(5)}}
+		}, ""},
 		"its client has left":         {func(m *Message, _ *Records) { m.Answer, m.Left, m.Calls = "", true, nil }, ""},
 		"the process says it, itself": {func(_ *Message, r *Records) { r.other = []string{"violation"} }, "process"},
 	} {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -124,3 +124,8 @@
 		}
 	}
 }
+
+// Without told limits, and with many slots, one of 400 plays goes over the budget of slow start (KNOWN-RED.txt).
+func TestSlowStartWithoutLimits(t *testing.T) {
+	newWorld(t, variants()["no limits"], 344).play()
+}
