--- a/internal/transport/http/calls_test.go
+++ b/internal/transport/http/calls_test.go
@@ -261,7 +261,11 @@
 			conns = append(conns, in.Conn)
 			in.Reply(200)
 			byhand.Await(t, got, "result")
-			time.Sleep(x.rest)
+			c.mu.Lock()
+			for _, conn := range c.idle[newCall(e.Addr(), "", 0).Endpoint] {
+				conn.since = conn.since.Add(-x.rest)
+			}
+			c.mu.Unlock()
 		}
 		if reused := conns[0] == conns[1]; reused != x.reused {
 			t.Errorf("idle time %v: reused after %v: %v", x.idle, x.rest, reused)
