--- a/internal/front/resp/crossing_test.go
+++ b/internal/front/resp/crossing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -331,3 +332,28 @@
 	}
 	f.mu.Unlock()
 }
+
+// lastMoment takes every message on, and the process ends as it takes the first.
+type lastMoment struct {
+	yes
+	f **Front
+}
+
+func (c lastMoment) Submit(m *message.Message, answer chan<- core.Answer) {
+	(*c.f).over.Store(true)
+	c.yes.Submit(m, answer)
+}
+
+// Requests that were read together with one that is served as the process ends are answered too.
+func TestReadAsTheProcessEnds(t *testing.T) {
+	var f *Front
+	f, _ = serveCrossing(t, lastMoment{f: &f}, Options{Connections: 1})
+	c := dial(t, f)
+	const requests = 3
+	io.WriteString(c.conn, strings.Repeat(putLate, requests))
+	for i := range requests {
+		if got := c.line(); got != "+OK" {
+			t.Errorf("request %d: %q", i, got)
+		}
+	}
+}
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -266,7 +266,7 @@
 
 // await waits for the first byte of a request; false ends the connection.
 func (s *session) await(first bool) bool {
-	if s.c.over.Load() {
+	if s.c.over.Load() && (s.r == nil || s.r.Buffered() == 0) { // what has been read is answered
 		s.closed = closedOver
 		return false // nothing more is read
 	}
