Count dials in the test of calls for the list without a race

Traced: the test's own dialer counts with a plain variable, and net/http may still be in the dial of a call that is over when the next one dials. Change: an atomic counter.

--- a/internal/source/platform/orders_test.go
+++ b/internal/source/platform/orders_test.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,7 +125,8 @@
 // playOrder has the calls for the list go wrong in an order, and the one behind them answered. It returns the calls up
 // to the first one after that, and when discovery moved, by calls.
 func playOrder(t *testing.T, known List, pushed bool, seed uint64, order []fate) (calls []call, moved map[int]time.Duration) {
-	start, made, n := time.Now(), make(chan call), 0
+	start, made := time.Now(), make(chan call)
+	var n atomic.Int64
 	moved = map[int]time.Duration{}
 	s := New("agent:1", known, pushed, slog.New(slog.DiscardHandler))
 	ctx, stop := context.WithCancel(t.Context())
@@ -135,8 +137,7 @@
 		case <-ctx.Done():
 		}
 	}, &http.Transport{DisableKeepAlives: true, DialContext: func(dialing context.Context, _, _ string) (net.Conn, error) {
-		k := n
-		n++
+		k := int(n.Add(1)) - 1 // a dial whose call is over may still run beside the next
 		now := fate{answer: func(c call) { reply(c, whole) }}
 		if k < len(order) {
 			now = order[k]
