Show that requests read as the process ends get no answer: a red test with real processes

What callers saw: a request was handed in whole on an open connection, the process that was told to end (SIGTERM) read it, and the connection ended with no answer (rule lost).

Need: the failing test before the mend.

--- /dev/null
+++ b/internal/daemon/busyend_held_test.go
@@ -0,0 +1,172 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cometrack/internal/source/platform"
+	"cometrack/internal/standin/discovery"
+	"cometrack/internal/standin/faultbuild"
+	"cometrack/internal/standin/partner"
+)
+
+// neverResting is a client on whose one connection a request has always begun: each write brings the rest of one and
+// the first half of the next.
+type neverResting struct {
+	net.Conn
+	ends     []int64 // of each request that was written whole, in bytes from the start of the connection
+	answers  []string
+	sessions sync.WaitGroup
+}
+
+func startNeverResting(t *testing.T, addr, name string, pace time.Duration) *neverResting {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &neverResting{Conn: conn}
+	over := make(chan struct{})
+	c.sessions.Go(func() {
+		rest, written := "", int64(0)
+		for n := 0; ; n++ {
+			next := "*5\r\n$7\r\nMSG.PUT\r\n$4\r\n0000\r\n"
+			for _, arg := range []string{fmt.Sprintf("%s-%d", name, n), "c=safe,t=acme,d=10000,dest=1", "x"} {
+				next += fmt.Sprintf("$%d\r\n%s\r\n", len(arg), arg)
+			}
+			half := len(next) / 2
+			if _, err := conn.Write([]byte(rest + next[:half])); err != nil {
+				return
+			}
+			if written += int64(len(rest)); n > 0 {
+				c.ends = append(c.ends, written)
+			}
+			written += int64(half)
+			rest = next[half:]
+			select {
+			case <-over:
+				return
+			case <-time.After(pace):
+			}
+		}
+	})
+	c.sessions.Go(func() {
+		defer conn.Close()
+		defer close(over)
+		for r := bufio.NewReader(conn); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			c.answers = append(c.answers, line)
+		}
+	})
+	return c
+}
+
+// unanswered is how many of the requests have no answer that the sender had read whole before it ended the connection.
+func (c *neverResting) unanswered(traced []*faultbuild.Connection) (n int) {
+	for _, x := range traced {
+		if x.Port != c.LocalAddr().(*net.TCPAddr).Port {
+			continue
+		}
+		for _, end := range c.ends[min(len(c.answers), len(c.ends)):] {
+			if end <= x.Read {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A request that was read as the process ends got no answer: a sender that is told to end answers each one that it has
+// read before its connection ends, also if it is held up in its last moments.
+func TestRequestReadIsAnsweredBeforeTheEnd(t *testing.T) {
+	const (
+		processes = 16
+		clients   = 8
+		pace      = 5 * time.Millisecond
+		before    = 100 * time.Millisecond  // of traffic, until SIGTERM
+		early     = 3300 * time.Millisecond // from SIGTERM on, until half of the processes are held up over the end, at 3.4 s
+		last      = 3380 * time.Millisecond // until the others are held up, one after the other
+		apart     = 5 * time.Millisecond
+		kill      = 3700 * time.Millisecond // SIGTERM to SIGKILL
+		holdFor   = 135 * time.Millisecond  // with what the harness adds, up to 0.15 s
+		hold      = 0.004                   // for each reading of the clock, until the first
+	)
+	path, err := builtWithFaults()
+	if err != nil {
+		t.Fatal(err)
+	}
+	to := startPartner(t, partner.Options{Name: "1"})
+	var all sync.WaitGroup
+	for i := range processes {
+		p := discovery.New(t)
+		p.List = platform.List{Generation: 1, Reset: true, Instances: []platform.Instance{{ID: "s-0", HostPort: to.Addr(), Zone: "a", Kind: "std",
+			Dest: 1, Lifecycle: "up", Weight: 10000}}}
+		dir := t.TempDir()
+		controls, err := faultbuild.NewControls(filepath.Join(dir, "page"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer controls.Close()
+		trace := filepath.Join(dir, "trace")
+		x := launchProgram(t, path, p, dir, p.List, "127.0.0.1:0", controls.Env(), faultbuild.TraceVariable+"="+trace)
+		if err := x.ready(); err != nil {
+			t.Fatal(err)
+		}
+		var list []*neverResting
+		for k := range clients {
+			list = append(list, startNeverResting(t, x.addr, fmt.Sprintf("m-%d-%d", i, k), pace))
+		}
+		all.Go(func() {
+			stop, resumed := make(chan struct{}), make(chan []time.Duration, 1)
+			go func() {
+				resumed <- faultbuild.Resume(x.Cmd.Process.Pid, func() time.Duration {
+					controls.SetHolds(0) // it is held up once
+					return holdFor
+				}, stop)
+			}()
+			time.Sleep(before)
+			from := time.Now()
+			x.term()
+			if i < processes/2 {
+				time.Sleep(early)
+			} else {
+				time.Sleep(last + time.Duration(i-processes/2)*apart)
+			}
+			controls.SetHolds(hold)
+			late := time.AfterFunc(time.Until(from.Add(kill))+2*to.Stall(), func() { x.Signal(syscall.SIGKILL) })
+			x.Wait()
+			late.Stop()
+			took := time.Since(from)
+			close(stop)
+			traced, err := faultbuild.Connections(trace)
+			if err != nil {
+				t.Error(err)
+			}
+			answers, lost := 0, 0
+			for _, c := range list {
+				c.sessions.Wait()
+				for _, line := range c.answers {
+					if !strings.HasPrefix(line, "+OK") && !strings.HasPrefix(line, "-BUSY") {
+						t.Errorf("answer %q", line)
+					}
+				}
+				answers += len(c.answers)
+				lost += c.unanswered(traced)
+			}
+			if lost > 0 || answers == 0 {
+				t.Errorf("process %d: %d requests that were read have no answer", i, lost)
+			}
+			t.Logf("process %d: %d answers; held up for %v; ended after %v", i, answers, <-resumed, took)
+		})
+	}
+	all.Wait()
+}
--- a/internal/standin/faultbuild/overlay.go
+++ b/internal/standin/faultbuild/overlay.go
@@ -38,6 +38,12 @@
 		"	defer fd.decref()\n	if errno := syscall.FaultWrite(); errno != 0 {\n		n, _ := syscall.Pwrite(fd.Sysfd, p[:len(p)/2], off)\n		return n, errno\n	}\n	var nn int\n	for {\n		max := len(p)\n		if fd.IsStream && max-nn > maxRW {\n			max = nn + maxRW\n		}\n		n, err := syscall.Pwrite("},
 	{"internal/poll/fd_unix.go", "		n, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])\n",
 		"		if !fd.isFile {\n			syscall.FaultHoldWrite()\n		}\n		n, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])\n"},
+	{"internal/poll/fd_unix.go", "		n, err := ignoringEINTRIO(syscall.Read, fd.Sysfd, p)\n",
+		"		n, err := ignoringEINTRIO(syscall.Read, fd.Sysfd, p)\n		if n > 0 && fd.IsStream && !fd.isFile {\n			syscall.FaultTrace('R', fd.Sysfd, n)\n		}\n"},
+	{"internal/poll/fd_unix.go", "func (fd *FD) Close() error {\n",
+		"func (fd *FD) Close() error {\n	if fd.IsStream && !fd.isFile {\n		syscall.FaultTrace('C', fd.Sysfd, 0)\n	}\n"},
+	{"internal/poll/fd_posix.go", "	return syscall.Shutdown(fd.Sysfd, how)\n",
+		"	syscall.FaultTrace('S', fd.Sysfd, 0)\n	return syscall.Shutdown(fd.Sysfd, how)\n"},
 	{"internal/poll/fd_fsync_posix.go", "	return ignoringEINTR(func() error {\n",
 		"	if errno := syscall.FaultSync(); errno != 0 {\n		return errno\n	}\n	return ignoringEINTR(func() error {\n"},
 	{"syscall/syscall_unix.go", "func Connect(fd int, sa Sockaddr) (err error) {\n",
@@ -60,7 +66,17 @@
 
 var faultRandom atomic.Uint64
 
+// faultTrace is the descriptor of the trace; negative while there is none.
+var faultTrace = -1
+
 func init() {
+	if path, ok := Getenv("` + TraceVariable + `"); ok {
+		fd, err := Open(path, O_WRONLY|O_CREAT|O_APPEND|O_CLOEXEC, 0o600)
+		if err != nil {
+			panic("faultbuild: the trace can't be opened")
+		}
+		faultTrace = fd
+	}
 	path, ok := Getenv("` + Variable + `")
 	if !ok {
 		return
@@ -78,6 +94,34 @@
 	faultRandom.Store(uint64(Getpid())*0x9e3779b97f4a7c15 | 1)
 }
 
+// FaultTrace adds a line to the trace: what has happened to a connection, its descriptor, the
+// port of its peer, 0 if that is not known any more, and a number of bytes.
+func FaultTrace(event byte, fd, bytes int) {
+	if faultTrace < 0 || fd < 0 {
+		return
+	}
+	port := 0
+	if peer, err := Getpeername(fd); err == nil {
+		if inet, ok := peer.(*SockaddrInet4); ok {
+			port = inet.Port
+		}
+	}
+	var line []byte
+	line = append(line, event)
+	for _, n := range [3]int{fd, port, bytes} {
+		line = append(line, ' ')
+		line = faultAppendNumber(line, n)
+	}
+	Write(faultTrace, append(line, '\n'))
+}
+
+func faultAppendNumber(b []byte, n int) []byte {
+	if n >= 10 {
+		b = faultAppendNumber(b, n/10)
+	}
+	return append(b, byte('0'+n%10))
+}
+
 func faultField(i int) int64 {
 	if faultPage == nil {
 		return 0
