Answer all that was read before the process ends, and read nothing more as it ends

What callers saw: a request written whole on a connection that had stayed open from SIGTERM to the end of the process (3.4 s) was read, and the connection ended with no answer. Clients that always have a request under way are such.

Cause: two timers in the place of two events. (1) As the process ends, readers are woken; one that was not in its read just then, with part of a request in its buffer, set its own time anew (0.2 s) and read on. (2) The end waited 0.1 s for answers, whatever was still unanswered, and the core 0.15 s: a process held up for up to 0.15 s found both over, and ended with requests read and not answered. In the first case one request is lost, whichever is read in the instant of the exit; in the second all that are under way.

Change: once the process ends nothing more is read, whatever a reader was at; what has come in part is turned away. The end waits for the answers themselves, with a stall and 0.1 s as the bound for clients that take none; what is left unanswered then is counted as a violation, which the monitor could not see before. A client has 50 ms to end its side, so that answers are not lost by a reset.

TestEndWaitsForAnswers and TestNothingIsReadAsTheProcessEnds fail without the change each time. Packages core, front and daemon: passed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,8 +19,9 @@
 const (
 	stopSends  = 3200 * time.Millisecond // what is sent after that must end by then
 	sweepEvery = time.Second
-	// lastClients is how long clients may be answered once the loop has ended.
-	lastClients = 150 * time.Millisecond
+	// lastClients is how long clients may be answered once the loop has ended: longer than
+	// the fronts take for it.
+	lastClients = permit.MaxStall + 150*time.Millisecond
 	retryPause  = 250 * time.Millisecond // of an attempt that could not be written to the journal
 	eventRoom   = 4096
 )
--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	lastAnswers  = 100 * time.Millisecond // to answer what was read before the process ended
-	maxPipelined = 16                     // requests of one connection that wait for their answers
+	// lastAnswers is for the answers to what was read before the process ends, though it
+	// is held up meanwhile.
+	lastAnswers  = permit.MaxStall + 100*time.Millisecond
+	maxPipelined = 16 // requests of one connection that wait for their answers
 	smallRequest = 4 << 10
 	largeRequest = message.MaxBody + smallRequest
 )
@@ -279,7 +281,8 @@
 }
 
 // Shutdown closes each connection once no request is under way on it, and returns
-// when all are closed or ctx is over.
+// when all are closed. Once ctx is over nothing more is read, and it returns as soon
+// as all that has been read is answered.
 func (c *Front) Shutdown(ctx context.Context, hurry bool) {
 	c.mu.Lock()
 	accepted := c.accepted
@@ -311,6 +314,23 @@
 	select {
 	case <-done:
 	case <-time.After(lastAnswers):
+		c.traceUnanswered()
+	}
+}
+
+// traceUnanswered counts the requests that were read and get no answer, since the
+// process ends.
+func (c *Front) traceUnanswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for s := range c.sessions {
+		unanswered := s.open
+		if s.begun {
+			unanswered--
+		}
+		if unanswered > 0 {
+			c.opts.Monitor.Violated(permit.ClosedUnanswered, s.conn.RemoteAddr().String(), "requests", unanswered, "reason", string(closedOver))
+		}
 	}
 }
 
--- a/internal/front/resp/crossing_test.go
+++ b/internal/front/resp/crossing_test.go
@@ -15,6 +15,7 @@
 	"cometrack/internal/core"
 	"cometrack/internal/message"
 	"cometrack/internal/netutil"
+	"cometrack/internal/permit"
 	"cometrack/internal/standin/byhand"
 )
 
@@ -357,3 +358,86 @@
 		}
 	}
 }
+
+// whenOver tells when nothing more may be read from the front's connections.
+func whenOver(t *testing.T, f *Front) {
+	t.Helper()
+	byhand.Until(t, "end of the process", f.over.Load)
+}
+
+// endNow has the front shut down by a context that is over, and tells when it has.
+func endNow(f *Front) <-chan struct{} {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Shutdown(ctx, true)
+	}()
+	return done
+}
+
+// A request was read, and the process ended before its answer came, since it was held up for 0.15 s: the end waits for
+// the answer.
+func TestEndWaitsForAnswers(t *testing.T) {
+	asked := make(chan chan<- core.Answer, 1)
+	f, _ := serveCrossing(t, later{asked: asked}, Options{Connections: 1})
+	c := dial(t, f)
+	io.WriteString(c.conn, putLate)
+	answer := byhand.Await(t, asked, "request")
+	f.CloseListener()
+	done := endNow(f)
+	whenOver(t, f)
+	select {
+	case <-done:
+		t.Error("the front is shut down with a request unanswered")
+	case <-time.After(permit.MaxStall):
+	}
+	answer <- core.Answer{}
+	if got := c.line(); got != "+OK" {
+		t.Errorf("answer %q", got)
+	}
+	if got := c.ended(); got != "" {
+		t.Errorf("more: %q", got)
+	}
+	<-done
+}
+
+// busy holds its clients up, as a process does that is held up itself, until the test lets them go.
+type busy struct {
+	counting
+	asked, goOn chan struct{}
+}
+
+func (b *busy) Submit(m *message.Message, answer chan<- core.Answer) {
+	b.asked <- struct{}{}
+	<-b.goOn
+	b.counting.Submit(m, answer)
+}
+
+// The rest of a request was read while the process ended, and nobody waited for its answer: what has come only in part
+// by then is turned away, and nothing more is read.
+func TestNothingIsReadAsTheProcessEnds(t *testing.T) {
+	b := &busy{asked: make(chan struct{}, 2), goOn: make(chan struct{})}
+	f, _ := serveCrossing(t, b, Options{Connections: 1})
+	c := dial(t, f)
+	half := len(putLate) / 2
+	io.WriteString(c.conn, putLate+putLate[:half])
+	byhand.Await(t, b.asked, "request")
+	f.CloseListener()
+	done := endNow(f)
+	whenOver(t, f)
+	close(b.goOn)
+	if got := c.line(); got != "+OK" {
+		t.Errorf("answer %q", got)
+	}
+	c.conn.SetReadDeadline(time.Now().Add(lastRequest / 2))
+	if got, err := c.r.ReadString('\n'); err != nil || got != "-BUSY\r\n" {
+		t.Errorf("a request that has come in part gets %q, %v", got, err)
+	}
+	io.WriteString(c.conn, putLate[half:])
+	<-done
+	if n := b.taken(); n != 1 {
+		t.Errorf("%d requests are acted upon", n)
+	}
+}
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -26,6 +26,7 @@
 	maxErrors    = 16                     // errors in a row after which a connection is closed
 	errorPause   = 5 * time.Millisecond   // before the next request is read, for each error in a row
 	lingerClient = 500 * time.Millisecond // for the client to end a connection that is ended
+	lingerLast   = 50 * time.Millisecond  // and as the process ends
 	lingerBytes  = 1 << 20                // that it may send until then
 	lingerRead   = 4 << 10                // at a time
 
@@ -249,12 +250,13 @@
 }
 
 // deadline sets how long the reader waits: while serving, while connections retire,
-// and while they do in a hurry. One that is told to end waits for nothing.
+// and while they do in a hurry. One that is told to end waits for nothing, and as the
+// process ends nothing more is read from the connection.
 func (s *session) deadline(serving, retiring, leaving time.Duration) {
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	switch {
-	case !s.left.IsZero():
+	case !s.left.IsZero() || s.c.over.Load():
 		serving = 0
 	case s.c.leaving:
 		serving = min(serving, leaving)
@@ -416,7 +418,7 @@
 	by := time.Now().Add(lingerClient)
 	switch {
 	case s.c.over.Load():
-		by = time.Now()
+		by = time.Now().Add(lingerLast)
 	case s.c.retiring:
 		by = time.Now().Add(lastRequest)
 	}
