HTTP front: answer all that was read before the process ends

What callers saw: a request that the daemon had read was cut off with no answer as the process ended, 3.4 s after SIGTERM.

Cause: the same class as in the RESP2 front. net/http's Shutdown gives up when its context is over, and Close cut off all requests under way at once, though the core answers them as stopped in that moment.

Change: once the context is over the front waits for the requests under way, a stall and 0.1 s at most, and closes then.

Evidence: TestEndWaitsForAnswers fails before ("EOF" in the place of an answer), passes after; package passed.

--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -18,6 +18,7 @@
 	"cometrack/internal/core"
 	"cometrack/internal/message"
 	"cometrack/internal/netutil"
+	"cometrack/internal/permit"
 )
 
 // Bounds of what a client may ask for.
@@ -31,6 +32,9 @@
 	smallBody  = 4 << 10
 	placeTime  = 200 * time.Millisecond // to wait for a place for a large body
 	certTime   = 5 * time.Second
+	// lastAnswers is for the answers to what was read before the process ends, though it
+	// is held up meanwhile.
+	lastAnswers = permit.MaxStall + 100*time.Millisecond
 )
 
 // Core is what the front hands requests to. [core.Door] is one.
@@ -221,10 +225,16 @@
 // CloseListener ends the taking of new clients.
 func (f *Front) CloseListener() { f.ln.Close() }
 
-// Shutdown ends long-polls and streams, lets other requests end, and closes.
+// Shutdown ends long-polls and streams, lets other requests end, and closes. Once ctx
+// is over it waits no longer than it takes to answer what has been read.
 func (f *Front) Shutdown(ctx context.Context, _ bool) {
 	f.once.Do(func() { close(f.closing) })
-	if f.server.Shutdown(ctx) != nil {
+	if f.server.Shutdown(ctx) == nil {
+		return
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswers)
+	defer cancel()
+	if f.server.Shutdown(last) != nil {
 		f.server.Close()
 	}
 }
--- /dev/null
+++ b/internal/front/http/shutdown_test.go
@@ -0,0 +1,80 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cometrack/internal/core"
+	"cometrack/internal/message"
+	"cometrack/internal/permit"
+	"cometrack/internal/standin/byhand"
+)
+
+// later has messages answered by the test.
+type later struct {
+	scripted
+	asked chan chan<- core.Answer
+}
+
+func (l *later) Submit(_ *message.Message, answer chan<- core.Answer) { l.asked <- answer }
+
+// serveLater starts a front whose answers the test gives.
+func serveLater(t *testing.T) (*Front, *later) {
+	t.Helper()
+	c := &later{asked: make(chan chan<- core.Answer, 1)}
+	f, _ := newFront(t, &c.scripted)
+	f.core = c
+	return f, c
+}
+
+// post hands a message in and tells the status line of the answer, or how the connection ended.
+func post(t *testing.T, f *Front) <-chan string {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(byhand.Patience))
+	fmt.Fprint(conn, "POST /v1/messages?partner=p&class=c HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+	got := make(chan string, 1)
+	go func() {
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		if err != nil {
+			line = err.Error()
+		}
+		got <- line
+	}()
+	return got
+}
+
+// A request was read, and its connection was cut off as the process ended: the end waits for the answer, though the
+// process is held up for 0.15 s.
+func TestEndWaitsForAnswers(t *testing.T) {
+	f, c := serveLater(t)
+	got := post(t, f)
+	answer := byhand.Await(t, c.asked, "request")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Shutdown(ctx, true)
+	}()
+	select {
+	case <-done:
+		t.Error("the front is shut down with a request unanswered")
+	case <-time.After(permit.MaxStall):
+	}
+	answer <- core.Answer{Verdict: core.Stopped}
+	if line := byhand.Await(t, got, "answer"); !strings.Contains(line, fmt.Sprint(http.StatusServiceUnavailable)) {
+		t.Errorf("answer %q", line)
+	}
+	<-done
+}
