HTTP front: serve the connections that wait to be accepted as its listener closes

What callers saw: a new connection that waited to be accepted, with its request written, was reset as the daemon left its listener (SIGTERM, 0.5 s).

Change: both fronts drain; Shutdown waits until no connection is accepted any more.

Evidence: TestDrainAcceptsWhoWaits fails before (connection reset by peer), passes after; package passed under the race detector.

--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -80,6 +80,10 @@
 	once    sync.Once
 	places  places
 
+	mu       sync.Mutex
+	acceptor *netutil.Acceptor // nil before Serve
+	accepted chan struct{}     // closed when no connection is accepted any more; nil before Serve
+
 	certTime time.Duration // between two looks at the certificate's files
 }
 
@@ -208,7 +212,12 @@
 
 // Serve takes clients until CloseListener.
 func (f *Front) Serve() {
-	var ln net.Listener = newListener(f.ln, &f.places, f.log)
+	accept, accepted := newListener(f.ln, &f.places, f.log), make(chan struct{})
+	defer close(accepted)
+	f.mu.Lock()
+	f.acceptor, f.accepted = &accept.Acceptor, accepted
+	f.mu.Unlock()
+	var ln net.Listener = accept
 	if f.opts.Certificate != "" {
 		go f.followCertificate()
 		ln = tls.NewListener(ln, &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: []string{"h2", "http/1.1"},
@@ -222,13 +231,32 @@
 // Retire has connections closed between requests, or no longer.
 func (f *Front) Retire(on bool) { f.server.SetKeepAlivesEnabled(!on) }
 
-// CloseListener ends the taking of new clients.
-func (f *Front) CloseListener() { f.ln.Close() }
+// CloseListener ends the taking of new clients, but for those that wait to be accepted
+// already.
+func (f *Front) CloseListener() {
+	f.mu.Lock()
+	accept := f.acceptor
+	f.mu.Unlock()
+	if accept == nil {
+		f.ln.Close()
+		return
+	}
+	accept.Drain()
+}
 
 // Shutdown ends long-polls and streams, lets other requests end, and closes. Once ctx
 // is over it waits no longer than it takes to answer what has been read.
 func (f *Front) Shutdown(ctx context.Context, _ bool) {
 	f.once.Do(func() { close(f.closing) })
+	f.mu.Lock()
+	accepted := f.accepted
+	f.mu.Unlock()
+	if accepted != nil { // what has been accepted is served
+		select {
+		case <-accepted:
+		case <-ctx.Done():
+		}
+	}
 	if f.server.Shutdown(ctx) == nil {
 		return
 	}
--- a/internal/front/http/shutdown_test.go
+++ b/internal/front/http/shutdown_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -78,3 +79,53 @@
 	}
 	<-done
 }
+
+// A connection that waited to be accepted was reset with its request as the listener closed: it is served.
+func TestDrainAcceptsWhoWaits(t *testing.T) {
+	c := &later{asked: make(chan chan<- core.Answer, 1)}
+	f := New(c, Options{Listen: "127.0.0.1:0", Connections: 4, Stream: NewStream(1), Log: slog.New(slog.DiscardHandler),
+		Defaults: func(string) (time.Duration, bool) { return time.Minute, true }})
+	if err := f.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	f.ln = lateListener{f.ln, make(chan struct{})}
+	go f.Serve()
+	byhand.Until(t, "service", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.acceptor != nil
+	})
+	got := post(t, f)
+	f.CloseListener()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Shutdown(context.Background(), true)
+	}()
+	close(f.ln.(lateListener).goOn)
+	select {
+	case answer := <-c.asked:
+		answer <- core.Answer{}
+	case line := <-got:
+		t.Fatalf("the request ends with %q", line)
+	}
+	if line := byhand.Await(t, got, "answer"); !strings.Contains(line, fmt.Sprint(http.StatusAccepted)) {
+		t.Errorf("answer %q", line)
+	}
+	<-done
+}
+
+// lateListener accepts nothing before it may go on.
+type lateListener struct {
+	net.Listener
+	goOn chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	<-l.goOn
+	return l.Listener.Accept()
+}
+
+func (l lateListener) SetDeadline(at time.Time) error {
+	return l.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(at)
+}
