Wait for the successor's answers as a process that has handed over ends

What callers saw: a request on a connection of the old process of an upgrade was answered as failed, and the new process, which had it all the same, sent it on: forwarded after its end (rule lost).

At the end of its time (3.4 s after SIGTERM) the old process answered all that it had forwarded as failed, in the instant, whatever the successor was about to say.

Change: it takes nothing more on and waits for the answers, a stall and 50 ms at most. The loop is a type with a method for each kind of event now (one function of 110 lines before).

Evidence: TestRelayEndsWithItsAnswers fails before ("answered as failed before the successor has"), passes after under the race detector; tests of upgrades with processes passed (31 s). Still open: a successor that dies with a request answers nothing, and what it took on goes out after the next start though its client was told that it failed.

--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -4,121 +4,183 @@
 	"time"
 
 	"cometrack/internal/handover"
+	"cometrack/internal/permit"
 )
 
 // What a process does once another decides: its calls and clients come to their
 // ends here, and the successor hears of all of it.
 
-// mostForwarded bounds the requests that wait for the successor.
-const mostForwarded = 1024
+const (
+	// mostForwarded bounds the requests that wait for the successor.
+	mostForwarded = 1024
+	// lastForwarded is for the successor's answers to requests as this process ends, though
+	// the successor is held up meanwhile.
+	lastForwarded = permit.MaxStall + 50*time.Millisecond
+)
+
+// relay is what a process has under way for its successor. The loop that [relay.run] is
+// owns it.
+type relay struct {
+	core      *Core
+	successor Successor
+	gone      bool // the successor has ended
+	ending    bool // this process ends: only answers are waited for
+	left      bool // no client is left
+	out       map[string]*held
+	puts      map[uint64]putEvent   // by the number they were forwarded under
+	asks      map[uint64]stateEvent // as well
+	seq       uint64
+}
 
 // relay forwards until no call is out and no client is left.
 func (c *Core) relay(ev *successorEvent, served, stopped <-chan struct{}) error {
-	successor := ev.successor
-	defer successor.Close()
+	r := &relay{core: c, successor: ev.successor, out: map[string]*held{}, puts: map[uint64]putEvent{}, asks: map[uint64]stateEvent{}}
+	for id, h := range c.held {
+		if h.attempt != nil && h.attempt.begun() {
+			r.out[id] = h
+		}
+	}
+	defer r.successor.Close()
+	defer r.lose()
+	r.run(served, stopped)
+	return nil
+}
+
+// run takes what comes, until nothing is under way any more.
+func (r *relay) run(served, stopped <-chan struct{}) {
 	told, gone := make(chan any, mostForwarded), make(chan struct{})
-	go successor.Listen(func(m any) {
+	go r.successor.Listen(func(m any) {
 		select {
 		case told <- m:
-		case <-c.done:
+		case <-r.core.done:
 		}
 	}, func(err error) { close(gone) })
-	out := map[string]*held{}
-	for id, h := range c.held {
-		if h.attempt != nil && h.attempt.begun() {
-			out[id] = h
+	var late <-chan time.Time // answers are waited for no longer
+	for !r.over() {
+		select {
+		case x := <-r.core.events:
+			r.take(x)
+		case m := <-told:
+			r.hear(m)
+		case <-gone:
+			r.core.log.Error("the process that took over is gone")
+			gone, r.gone = nil, true
+			r.lose()
+		case <-served:
+			r.left, served = true, nil
+		case <-stopped:
+			r.ending, stopped = true, nil
+			late = time.After(lastForwarded)
+		case <-late:
+			r.core.log.Error("the process that took over has not answered in time", "requests", len(r.puts))
+			return
 		}
 	}
-	puts, asks, seq := map[uint64]putEvent{}, map[uint64]stateEvent{}, uint64(0)
-	lost := func() { // nobody knows what became of what the successor had
-		for seq, ev := range puts {
-			ev.tell(Answer{Verdict: Failed})
-			delete(puts, seq)
+	r.core.log.Info("stopped", "handed over", true, "calls_out", len(r.out))
+}
+
+// over says whether nothing is under way any more. Calls that are out do not hold up a
+// process that is to end whatever is owed.
+func (r *relay) over() bool {
+	return len(r.puts)+len(r.asks) == 0 && (r.ending || r.left && len(r.out) == 0)
+}
+
+// closed says whether nothing more is forwarded.
+func (r *relay) closed() bool { return r.gone || r.ending }
+
+// lose answers what the successor had and will not answer: nobody knows what became of
+// it.
+func (r *relay) lose() {
+	for seq, ev := range r.puts {
+		ev.tell(Answer{Verdict: Failed})
+		delete(r.puts, seq)
+	}
+	for seq, ask := range r.asks {
+		ask.answer <- State{ID: ask.id}
+		delete(r.asks, seq)
+	}
+}
+
+// take deals with an event of this process.
+func (r *relay) take(event any) {
+	switch x := event.(type) {
+	case putEvent:
+		r.put(x)
+	case stateEvent:
+		r.ask(x)
+	case replyEvent:
+		r.reply(x)
+	case retuneEvent:
+		if x.done != nil {
+			x.done <- ErrStopped
 		}
-		for seq, ask := range asks {
-			ask.answer <- State{ID: ask.id}
-			delete(asks, seq)
+	case successorEvent:
+		x.done <- ErrStopped
+	case closingEvent: // what is out by then is called off, so that its end is known
+		time.AfterFunc(x.left, func() { r.core.post(callOffEvent{}) })
+	case callOffEvent:
+		for _, h := range r.out {
+			h.stop()
+		}
+	}
+}
+
+// put forwards a message that a client hands in. If that fails, the successor is gone.
+func (r *relay) put(ev putEvent) {
+	if r.closed() || len(r.puts) >= mostForwarded {
+		ev.tell(Answer{Verdict: Busy}) // the successor has never had it
+		return
+	}
+	r.seq++
+	r.puts[r.seq] = ev
+	r.successor.Send(&handover.Put{Seq: r.seq, Message: *ev.msg})
+}
+
+// ask forwards a question for the state of a message.
+func (r *relay) ask(ev stateEvent) {
+	if r.closed() || len(r.asks) >= mostForwarded {
+		ev.answer <- State{ID: ev.id}
+		return
+	}
+	r.seq++
+	r.asks[r.seq] = ev
+	r.successor.Send(&handover.AskState{Seq: r.seq, ID: ev.id})
+}
+
+// reply tells the successor the outcomes of attempts.
+func (r *relay) reply(event replyEvent) {
+	list := handover.Outcomes{}
+	for _, x := range event {
+		id := x.attempt.Message.ID
+		if h := r.out[id]; h == nil || h.attempt != x.attempt {
+			continue
 		}
+		delete(r.out, id)
+		list.List = append(list.List, handover.Outcome{ID: id, Number: x.attempt.Number, Outcome: int(x.result.Outcome),
+			Took: x.took, Wait: x.result.Wait, Over: x.result.Over, Load: x.result.Load})
+	}
+	if len(list.List) > 0 {
+		r.successor.Send(&list)
 	}
-	defer lost()
-	left := false
-	for {
-		if left && len(out) == 0 && len(puts) == 0 && len(asks) == 0 {
-			c.log.Info("stopped", "handed over", true)
-			return nil
+}
+
+// hear deals with what the successor tells.
+func (r *relay) hear(message any) {
+	switch m := message.(type) {
+	case *handover.Answer:
+		if ev, ok := r.puts[m.Seq]; ok {
+			delete(r.puts, m.Seq)
+			ev.tell(Answer{Verdict: Verdict(m.Verdict), After: m.After, Again: m.Again})
 		}
-		select {
-		case x := <-c.events:
-			switch x := x.(type) {
-			case putEvent:
-				if gone == nil || len(puts) >= mostForwarded {
-					x.tell(Answer{Verdict: Busy}) // the successor has never had it
-					continue
-				}
-				seq++
-				puts[seq] = x
-				successor.Send(&handover.Put{Seq: seq, Message: *x.msg}) // if it fails, the successor is gone
-			case stateEvent:
-				if gone == nil || len(asks) >= mostForwarded {
-					x.answer <- State{ID: x.id}
-					continue
-				}
-				seq++
-				asks[seq] = x
-				successor.Send(&handover.AskState{Seq: seq, ID: x.id})
-			case replyEvent:
-				list := handover.Outcomes{}
-				for _, r := range x {
-					id := r.attempt.Message.ID
-					if h := out[id]; h != nil && h.attempt == r.attempt {
-						delete(out, id)
-						list.List = append(list.List, handover.Outcome{ID: id, Number: r.attempt.Number, Outcome: int(r.result.Outcome),
-							Took: r.took, Wait: r.result.Wait, Over: r.result.Over, Load: r.result.Load})
-					}
-				}
-				if len(list.List) > 0 {
-					successor.Send(&list)
-				}
-			case retuneEvent:
-				if x.done != nil {
-					x.done <- ErrStopped
-				}
-			case successorEvent:
-				x.done <- ErrStopped
-			case closingEvent: // what is out by then is called off, so that its end is known
-				time.AfterFunc(x.left, func() { c.post(callOffEvent{}) })
-			case callOffEvent:
-				for _, h := range out {
-					h.stop()
-				}
-			}
-		case m := <-told:
-			switch m := m.(type) {
-			case *handover.Answer:
-				if ev, ok := puts[m.Seq]; ok {
-					delete(puts, m.Seq)
-					ev.tell(Answer{Verdict: Verdict(m.Verdict), After: m.After, Again: m.Again})
-				}
-			case *handover.State:
-				if ask, ok := asks[m.Seq]; ok {
-					delete(asks, m.Seq)
-					ask.answer <- State{ID: ask.id, Name: m.Name, Tenant: m.Tenant, Partner: m.Partner, Class: m.Class, Tries: m.Tries,
-						After: m.After, Accepted: moment(m.Accepted), Deadline: moment(m.Deadline), Over: moment(m.Over)}
-				}
-			case *handover.Cancel:
-				if h := out[m.ID]; h != nil && h.attempt.Number == m.Number {
-					h.stop()
-				}
-			}
-		case <-gone:
-			c.log.Error("the process that took over is gone")
-			gone = nil
-			lost()
-		case <-served:
-			left, served = true, nil
-		case <-stopped:
-			c.log.Info("stopped", "handed over", true, "calls_out", len(out))
-			return nil
+	case *handover.State:
+		if ask, ok := r.asks[m.Seq]; ok {
+			delete(r.asks, m.Seq)
+			ask.answer <- State{ID: ask.id, Name: m.Name, Tenant: m.Tenant, Partner: m.Partner, Class: m.Class, Tries: m.Tries,
+				After: m.After, Accepted: moment(m.Accepted), Deadline: moment(m.Deadline), Over: moment(m.Over)}
+		}
+	case *handover.Cancel:
+		if h := r.out[m.ID]; h != nil && h.attempt.Number == m.Number {
+			h.stop()
 		}
 	}
 }
--- /dev/null
+++ b/internal/core/relay_test.go
@@ -0,0 +1,67 @@
+package core
+
+import (
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"cometrack/internal/handover"
+	"cometrack/internal/message"
+	"cometrack/internal/permit"
+	"cometrack/internal/standin/byhand"
+)
+
+// successorByHand is a successor whose messages a test gives.
+type successorByHand struct {
+	sent chan any
+	tell chan any
+}
+
+func (s *successorByHand) Send(m any) error { s.sent <- m; return nil }
+func (s *successorByHand) Close() error     { return nil }
+func (s *successorByHand) Give(*handover.Snapshot, []net.Listener) (bool, error) {
+	return true, nil
+}
+func (s *successorByHand) Listen(tell func(any), _ func(error)) {
+	for m := range s.tell {
+		tell(m)
+	}
+}
+
+// A request was answered as failed and forwarded all the same: the process that had handed over ended while its
+// successor was held up with it. The end waits for the successor's answer, and takes nothing more on.
+func TestRelayEndsWithItsAnswers(t *testing.T) {
+	s := &successorByHand{make(chan any, 4), make(chan any, 4)}
+	defer close(s.tell)
+	c := &Core{events: make(chan any, 4), done: make(chan struct{}), log: slog.New(slog.DiscardHandler)}
+	stopped, over := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(over)
+		c.relay(&successorEvent{successor: s}, nil, stopped)
+	}()
+	put := func(id string) chan Answer {
+		answer := make(chan Answer, 1)
+		c.post(putEvent{msg: &message.Message{ID: id}, answer: answer})
+		return answer
+	}
+	first := put("first")
+	forwarded := byhand.Await(t, s.sent, "request at the successor").(*handover.Put)
+	close(stopped)
+	select {
+	case a := <-first:
+		t.Errorf("answered as %+v before the successor has", a)
+	case <-time.After(permit.MaxStall):
+	}
+	if a := byhand.Await(t, put("second"), "answer to the second"); a.Verdict != Busy {
+		t.Errorf("one that comes as the process ends gets %+v", a)
+	}
+	s.tell <- &handover.Answer{Seq: forwarded.Seq, Verdict: int(Accepted)}
+	if a := byhand.Await(t, first, "answer to the first"); a.Verdict != Accepted {
+		t.Errorf("the first gets %+v", a)
+	}
+	<-over
+	if len(s.sent) > 0 {
+		t.Error("something was forwarded as the process ended")
+	}
+}
