Have every event come at every point of crossing: measure crossings, and a judge of reads

Need: the class of the incident is a moment between two steps that no drawn fault had hit, and the judge let each request of under 0.25 s go. 52 named points between two steps that belong together report themselves in a build of their own (an overlay; nothing of it is in the program).

The judge knows what was read: a request that was read whole and has no answer is a violation however young. A sender that had ended by itself no longer counts as killed, which had excused requests lost at the end of a planned restart. New clients: one on whose connection a request has always begun, cut at any byte, and one with a connection for each request. New fault: connections to endpoints that come up late.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,7 +16,7 @@
 	tools := map[string]func(args []string) error{
 		"backlog": backlogged, "capacity": capacity.Command, "cluster": clusters, "console": consoles, "disk": disk, "doors": doors, "fleet": fleetLogs,
 		"fronts": fronts, "held": held, "hollow": hollows, "journal": journalWaits, "kill": kills, "knowledge": knowledge,
-		"platform": platform, "ready": readyTimes, "silent": silent, "soak": soaks, "plants": plants, "untried": untriedTable, "upgrade": upgrades,
+		"platform": platform, "ready": readyTimes, "silent": silent, "soak": soaks, "crossings": crossings, "plants": plants, "untried": untriedTable, "upgrade": upgrades,
 	}
 	if len(os.Args) < 2 || tools[os.Args[1]] == nil {
 		fmt.Fprintf(os.Stderr, "usage: measure %s [flags]\n", strings.Join(slices.Sorted(maps.Keys(tools)), "|"))
--- a/internal/daemon/busyend_held_test.go
+++ b/internal/daemon/busyend_held_test.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		for _, end := range c.ends[min(len(c.answers), len(c.ends)):] {
-			if end <= x.Read {
+			if !x.ReadAt(end).IsZero() {
 				n++
 			}
 		}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,8 @@
 	{"burst", 1, (*clients).burst},
 	{"resting", 3, (*clients).resting},
 	{"halting", 1, (*clients).halting},
+	{"cut", 1, (*clients).cut},
+	{"fresh", 1, (*clients).fresh},
 }
 
 const crowdSize = 150
@@ -64,18 +67,22 @@
 // conn is a client's connection.
 type conn struct {
 	net.Conn
-	r    *bufio.Reader
-	used bool
+	r       *bufio.Reader
+	used    bool
+	port    int // this end's
+	dialed  time.Time
+	written int64 // bytes
 }
 
 func (c *clients) dial(ctx context.Context) *conn {
 	d := net.Dialer{Timeout: time.Second}
+	dialed := time.Now()
 	x, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
 		pause(ctx, 50*time.Millisecond)
 		return nil
 	}
-	return &conn{Conn: x, r: bufio.NewReader(x)}
+	return &conn{Conn: x, r: bufio.NewReader(x), port: x.LocalAddr().(*net.TCPAddr).Port, dialed: dialed}
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -87,30 +94,46 @@
 	}
 }
 
-// request writes a message and books it; nil if the connection is broken.
-func (c *clients) request(x *conn, kind string, rng *rand.Rand) *Message {
+// compose makes a message and its request.
+func (c *clients) compose(kind string, rng *rand.Rand) (m *Message, text []byte) {
 	effect := []Effect{Safe, Keyed, Unsafe}[rng.IntN(3)]
 	hold := []time.Duration{400 * time.Millisecond, time.Second, 2500 * time.Millisecond, 4 * time.Second}[rng.IntN(4)] + time.Duration(rng.IntN(400))*time.Millisecond
-	m := &Message{ID: fmt.Sprintf("s%d-%s-%d", c.sender, kind, c.number.Add(1)), Sender: c.sender, Effect: effect, Client: kind, First: !x.used}
-	x.used = true
+	m = &Message{ID: fmt.Sprintf("s%d-%s-%d", c.sender, kind, c.number.Add(1)), Sender: c.sender, Effect: effect, Client: kind, hold: hold}
 	opts := fmt.Sprintf("c=%s,t=acme,d=%d,k=k-%s,dest=%d", effect, hold.Milliseconds(), m.ID, rng.IntN(c.dests))
 	body := "body of " + m.ID
 	if rng.IntN(20) == 0 {
 		body = strings.Repeat("x", 5000)
 	}
-	text := []byte("*5\r\n$7\r\nMSG.PUT\r\n")
+	text = []byte("*5\r\n$7\r\nMSG.PUT\r\n")
 	for _, arg := range []string{"0000", m.ID, opts, body} {
 		text = fmt.Appendf(text, "$%d\r\n%s\r\n", len(arg), arg)
 	}
+	return m, text
+}
+
+// request writes a message and books it; nil if the connection is broken.
+func (c *clients) request(x *conn, kind string, rng *rand.Rand) *Message {
+	m, text := c.compose(kind, rng)
+	if !c.write(x, m, text, len(text)) {
+		return nil
+	}
+	return m
+}
+
+// write writes to a connection and books a message, whose request ends with the first
+// of the bytes; false if the connection is broken.
+func (c *clients) write(x *conn, m *Message, text []byte, first int) bool {
+	m.First, x.used = !x.used, true
 	m.Written = time.Now()
-	m.Deadline = m.Written.Add(hold)
+	m.Deadline = m.Written.Add(m.hold)
+	m.port, m.dialed, m.end = x.port, x.dialed, x.written+int64(first)
 	c.records.add(m)
 	x.SetWriteDeadline(time.Now().Add(time.Second))
-	if _, err := x.Write(text); err != nil {
+	n, err := x.Write(text)
+	if x.written += int64(n); err != nil {
 		c.records.with(m, func() { m.Left = true }) // it was not written whole
-		return nil
 	}
-	return m
+	return err == nil
 }
 
 // answer reads the answer to a message; false if the connection has ended or the
@@ -177,6 +200,39 @@
 	}
 }
 
+// cut always has a request under way: each write brings the rest of one and the first
+// part of the next, cut at any byte.
+func (c *clients) cut(ctx context.Context, rng *rand.Rand) {
+	x := c.dial(ctx)
+	if x == nil {
+		return
+	}
+	defer x.Close()
+	m, rest := c.compose("cut", rng)
+	for ctx.Err() == nil {
+		next, text := c.compose("cut", rng)
+		part := 1 + rng.IntN(len(text)-1)
+		if !c.write(x, m, slices.Concat(rest, text[:part]), len(rest)) || !c.answer(x, m) {
+			return
+		}
+		m, rest = next, text[part:]
+		pause(ctx, time.Duration(5+rng.IntN(40))*time.Millisecond)
+	}
+}
+
+// fresh makes a connection for each request, and leaves it after the answer.
+func (c *clients) fresh(ctx context.Context, rng *rand.Rand) {
+	x := c.dial(ctx)
+	if x == nil {
+		return
+	}
+	defer x.Close()
+	if m := c.request(x, "fresh", rng); m != nil {
+		c.answer(x, m)
+	}
+	pause(ctx, time.Duration(50+rng.IntN(200))*time.Millisecond)
+}
+
 // resting uses a connection now and then, until the sender ends it.
 func (c *clients) resting(ctx context.Context, rng *rand.Rand) {
 	x := c.dial(ctx)
@@ -209,7 +265,7 @@
 	if err != nil && !errors.Is(err, io.EOF) || took > 3*time.Second {
 		c.records.change(func() {
 			took -= within(c.records.stalls[c.sender], from, time.Now())
-			if took > 3*time.Second+crossing && !c.records.diedBetween(c.sender, from.Add(-time.Second), time.Now()) {
+			if took > 3*time.Second+crossingAge && !c.records.diedBetween(c.sender, from.Add(-time.Second), time.Now()) {
 				c.records.other = append(c.records.other, fmt.Sprintf("sender %d: a client that stopped within a request had neither error nor close after %v", c.sender, took))
 			}
 		})
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -33,6 +33,7 @@
 	binary   string
 	platform *platform
 	controls *faultbuild.Controls
+	trace    string // file of what it does with its connections
 	records  *Records
 	logs     *logFile
 
@@ -83,7 +84,7 @@
 // launch starts the process. It does not wait until it is ready.
 func (s *sender) launch() error {
 	p, err := program.Launch(s.binary, []string{fmt.Sprint("BALANCER_NAME=n", s.number), "BALANCER_LISTEN=" + s.addr, "BALANCER_DISCOVERY=" + s.platform.addr(),
-		"BALANCER_STATE=" + s.dir, "BALANCER_CONFIG=" + s.config, "COMETRACK_LOG=debug", s.controls.Env()})
+		"BALANCER_STATE=" + s.dir, "BALANCER_CONFIG=" + s.config, "COMETRACK_LOG=debug", s.controls.Env(), faultbuild.TraceVariable + "=" + s.trace})
 	if err != nil {
 		return err
 	}
@@ -138,10 +139,25 @@
 	}
 }
 
-// kill ends the process with SIGKILL and waits until it is gone.
+// running says whether the process has not ended.
+func (s *sender) running() bool {
+	p := s.process()
+	select {
+	case err := <-p.Done:
+		p.Done <- err
+		return false
+	default:
+		return true
+	}
+}
+
+// kill ends the process with SIGKILL, if it has not ended by itself, and waits until it
+// is gone.
 func (s *sender) kill() {
 	p := s.process()
-	s.records.killed(s.number, time.Now())
+	if s.running() {
+		s.records.killed(s.number, time.Now())
+	}
 	p.Signal(syscall.SIGCONT)
 	p.Signal(syscall.SIGKILL)
 	s.ended(program.Patience)
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -14,7 +14,7 @@
 	noticeWithin = 300 * time.Millisecond  // behind its time, an end is due
 	readyGrace   = 1500 * time.Millisecond // from ready until notices are overdue again
 	waitGrace    = 100 * time.Millisecond  // from a told wait until calls break it
-	crossing     = 250 * time.Millisecond  // a request that is older than this when its connection ends was there to be read
+	crossingAge  = 250 * time.Millisecond  // a request that is older than this when its connection ends was there to be read
 	handled      = 20 * time.Millisecond   // an endpoint may note the end of a connection so late
 	answerWithin = 400 * time.Millisecond  // clients wait for an answer
 )
@@ -89,20 +89,24 @@
 	}
 }
 
-// judgeAnswer: a request that the sender had time to read gets its answer before the
-// connection ends, unless the process was killed.
+// judgeAnswer: a request that the sender has read, or had time to read, gets its answer
+// before the connection ends, unless the process was killed.
 func (r *Records) judgeAnswer(m *Message, noise time.Duration, add func(*Message, string, ...any)) {
 	if m.Answer != "" || m.Closed.IsZero() {
 		return
 	}
+	if at := r.readAt(m); !at.IsZero() && !r.diedBetween(m.Sender, at, m.Closed) {
+		add(m, "closed with no answer %v after the request was read", m.Closed.Sub(at).Round(time.Millisecond))
+		return
+	}
 	age := m.Closed.Sub(m.Written) - within(r.stalls[m.Sender], m.Written, m.Closed)
-	if age > crossing+noise && !r.diedBetween(m.Sender, m.Written, m.Closed) {
+	if age > crossingAge+noise && !r.diedBetween(m.Sender, m.Written, m.Closed) {
 		add(m, "closed with no answer %v after the request", age.Round(time.Millisecond))
 	}
 }
 
 func (r *Records) diedBetween(sender int, from, to time.Time) bool {
-	return slices.ContainsFunc(r.kills[sender], func(t time.Time) bool { return t.After(from.Add(-crossing)) && t.Before(to.Add(crossing)) })
+	return slices.ContainsFunc(r.kills[sender], func(t time.Time) bool { return t.After(from.Add(-crossingAge)) && t.Before(to.Add(crossingAge)) })
 }
 
 // within is how much of the time from one moment to another lies in spans.
@@ -184,7 +188,7 @@
 			if end := x.over(); end.IsZero() || c.At.Before(end.Add(-handled-noise)) {
 				add(m, "two attempts out")
 			}
-			if x.Status == 200 && c.At.After(x.Answered.Add(crossing+noise)) && m.Effect == Unsafe {
+			if x.Status == 200 && c.At.After(x.Answered.Add(crossingAge+noise)) && m.Effect == Unsafe {
 				add(m, "sent again after its delivery")
 			}
 		}
--- a/internal/soak/plant.go
+++ b/internal/soak/plant.go
@@ -35,6 +35,10 @@
 		{File: "internal/clock/clock.go", Old: "return c.base + t.Sub(c.origin).Microseconds()", New: "return t.UnixMicro()"},
 		{File: "internal/clock/clock.go", Old: "return c.origin.Add(time.Duration(us-c.base) * time.Microsecond)", New: "return time.UnixMicro(us)"},
 	}},
+	{Name: "reads on as the process ends", Changes: []faultbuild.Change{
+		{File: "internal/front/resp/session.go", Old: "case !s.left.IsZero() || s.c.over.Load():", New: "case !s.left.IsZero():"},
+		{File: "internal/front/resp/clients.go", Old: "case <-time.After(lastAnswers):", New: "case <-time.After(0):"},
+	}},
 	{Name: "no room for a stall", Changes: []faultbuild.Change{
 		{File: "internal/permit/send.go", Old: "MaxStall = 150 * time.Millisecond", New: "MaxStall = 0 * time.Millisecond"},
 	}},
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -57,6 +57,9 @@
 
 func (p *platform) addr() string { return p.ln.Addr().String() }
 
+// port is where it listens.
+func (p *platform) port() int { return p.ln.Addr().(*net.TCPAddr).Port }
+
 func (p *platform) close() { p.server.Close() }
 
 // change changes what it says, and wakes those who watch.
--- /dev/null
+++ b/internal/soak/points.go
@@ -0,0 +1,107 @@
+package soak
+
+import "cometrack/internal/standin/faultbuild"
+
+// trigger is what has a point be passed.
+type trigger int
+
+const (
+	byTraffic trigger = iota // traffic alone
+	byTerm                   // SIGTERM
+	byStart                  // a start
+	byReload                 // SIGHUP
+)
+
+// point is a place in the program between two steps that belong together.
+type point struct {
+	faultbuild.Point
+	trigger trigger
+}
+
+const (
+	coreStep    = "internal/core/step.go"
+	coreAttempt = "internal/core/attempt.go"
+	coreLoop    = "internal/core/loop.go"
+	coreRun     = "internal/core/core.go"
+	transport   = "internal/transport/http/calls.go"
+	session     = "internal/front/resp/session.go"
+	front       = "internal/front/resp/clients.go"
+	notices     = "internal/sink/notices/notices.go"
+	startup     = "internal/daemon/platform.go"
+)
+
+// points are all of them, in the order in which a message and a process come by.
+var points = []point{
+	{faultbuild.Point{Name: "start: the journal is open", File: startup, Before: "	share := shareOut("}, byStart},
+	{faultbuild.Point{Name: "start: the store is read", File: "internal/journal/journal.go", Before: "	if err = j.load(); err == nil {"}, byStart},
+	{faultbuild.Point{Name: "start: the module has what was held", File: coreRun, Before: "	c.step(work)                   // what"}, byStart},
+	{faultbuild.Point{Name: "start: first step done", File: coreRun, Before: "	if !c.cfg.Settings.OnRequest { // the"}, byStart},
+	{faultbuild.Point{Name: "start: listening", File: coreRun, Before: "	go c.sink.Run(deciding"}, byStart},
+	{faultbuild.Point{Name: "start: serving, not said", File: coreRun, Before: "	c.life.Tell(lifecycle.Started)"}, byStart},
+	{faultbuild.Point{Name: "start: said", File: coreRun, Before: "	close(c.ready)\n	served :="}, byStart},
+	{faultbuild.Point{Name: "client: accepted", File: front, Before: "		s := &session{c: c, conn: conn"}, byTraffic},
+	{faultbuild.Point{Name: "client: admitted", File: front, Before: "		go func() {\n			defer c.wg.Done()"}, byTraffic},
+	{faultbuild.Point{Name: "client: first byte there", File: session, Before: "	s.open++\n"}, byTraffic},
+	{faultbuild.Point{Name: "client: request read, not noted", File: session, Before: "		live := s.came(err == nil)"}, byTraffic},
+	{faultbuild.Point{Name: "client: request noted, not submitted", File: "internal/front/resp/commands.go", Before: "		s.c.core.Submit(m, later)"}, byTraffic},
+	{faultbuild.Point{Name: "client: answer there, not written", File: session, Before: "		if err == nil {\n			s.conn.SetWriteDeadline(time.Now().Add(answerTime))\n			_, err = w.WriteString(line)"}, byTraffic},
+	{faultbuild.Point{Name: "client: answer about to go out", File: session, Before: "	return w.Flush()"}, byTraffic},
+	{faultbuild.Point{Name: "client: answered, not noted", File: session, Before: "	s.open--\n	s.served = true"}, byTraffic},
+	{faultbuild.Point{Name: "client: rests, about to be ended", File: session, Before: "			s.closed = s.reasonToEnd(err)\n			return false"}, byTerm},
+	{faultbuild.Point{Name: "client: about to be shut", File: session, Before: "	if t, ok := s.conn.(interface{ CloseWrite() error }); ok {"}, byTerm},
+	{faultbuild.Point{Name: "client: shut, not noted", File: session, Before: "	s.leave()\n	s.shut = true"}, byTerm},
+	{faultbuild.Point{Name: "client: read on, about to be closed", File: front, Before: "			conn.Close()\n			c.remove(s)"}, byTerm},
+	{faultbuild.Point{Name: "step: decided, not recorded", File: coreStep, Before: "	answers := c.answers(actions)"}, byTraffic},
+	{faultbuild.Point{Name: "step: recorded, not written", File: coreStep, Before: "	err := c.store.Append(c.records)\n	notBehind"}, byTraffic},
+	{faultbuild.Point{Name: "step: journal about to commit", File: "internal/journal/write.go", Before: "	if err := j.store.Commit(b); err != nil {\n		return err\n	}\n	for name"}, byTraffic},
+	{faultbuild.Point{Name: "step: written, clients not answered", File: coreStep, Before: "	c.answerPuts(answers, err, notBehind)"}, byTraffic},
+	{faultbuild.Point{Name: "step: clients answered, nothing done", File: coreStep, Before: "	var outs []logic.CallOut"}, byTraffic},
+	{faultbuild.Point{Name: "step: ends decided, not told", File: coreStep, Before: "	c.tellEnds(err == nil)\n	c.callOuts"}, byTraffic},
+	{faultbuild.Point{Name: "step: calls decided, not begun", File: coreStep, Before: "	c.callOuts(work, outs, err == nil)"}, byTraffic},
+	{faultbuild.Point{Name: "end: decided, not queued", File: coreStep, Before: "			c.untold = append(c.untold, toldEnd{h.msg, end, true})"}, byTraffic},
+	{faultbuild.Point{Name: "end: about to be withheld", File: coreStep, Before: "		h.attempt.ended.Store(true)"}, byTraffic},
+	{faultbuild.Point{Name: "call: about to be carried", File: coreAttempt, Before: "		at := time.Now()\n		results := c.carry(ctx, call)"}, byTraffic},
+	{faultbuild.Point{Name: "call: kept connection about to be looked at", File: transport, Before: "	alive, data := netutil.Peek(conn.Conn)"}, byTraffic},
+	{faultbuild.Point{Name: "call: connected, not begun", File: transport, Before: "	if !in.begin() {"}, byTraffic},
+	{faultbuild.Point{Name: "call: checked, about to begin", File: "internal/core/outgoing.go", Before: "	if a.state.CompareAndSwap(attemptWaiting, attemptBegun) {"}, byTraffic},
+	{faultbuild.Point{Name: "call: begun, not written", File: transport, Before: "	limit := &cutoff{conn: conn"}, byTraffic},
+	{faultbuild.Point{Name: "call: written, not noted", File: transport, Before: "	in.written()\n	conn.limit.N"}, byTraffic},
+	{faultbuild.Point{Name: "call: answer read", File: transport, Before: "	if conn.limit.N <= 0 && r.Outcome"}, byTraffic},
+	{faultbuild.Point{Name: "call: connection about to be kept", File: transport, Before: "	conn.since = time.Now()\n	conn.SetDeadline(time.Time{})"}, byTraffic},
+	{faultbuild.Point{Name: "call: outcome there, not posted", File: coreAttempt, Before: "		took := time.Since(at)"}, byTraffic},
+	{faultbuild.Point{Name: "outcome: taken, not noted", File: coreAttempt, Before: "	c.traceReply(ev)"}, byTraffic},
+	{faultbuild.Point{Name: "outcome: delivered, not finished", File: coreAttempt, Before: "	c.traceEnd(id, h, message.Delivered)"}, byTraffic},
+	{faultbuild.Point{Name: "notice: about to be posted", File: notices, Before: "			status, err := n.post(ctx, batch, within)"}, byTraffic},
+	{faultbuild.Point{Name: "notice: answered, not confirmed", File: notices, Before: "				confirm(idsOf(batch))\n				break"}, byTraffic},
+	{faultbuild.Point{Name: "notice: confirmed, not recorded", File: coreLoop, Before: "		now := c.clock.Now()\n		for _, id := range ev.ids {"}, byTraffic},
+	{faultbuild.Point{Name: "list: read, not taken", File: coreLoop, Before: "	c.heard, c.part = true, ev.List.Part"}, byTraffic},
+	{faultbuild.Point{Name: "sweep: about to forget", File: coreLoop, Before: "	c.store.Forget(c.clock.At(now))"}, byTraffic},
+	{faultbuild.Point{Name: "reload: read, not checked", File: startup, Before: "			err = p.cfg.CanFollow(cfg)"}, byReload},
+	{faultbuild.Point{Name: "reload: settings follow, not kept", File: startup, Before: "		p.cfg = cfg\n		p.keep()"}, byReload},
+	{faultbuild.Point{Name: "reload: notices about to move", File: startup, Before: "		p.sink.Move(cfg.Discovery)"}, byReload},
+	{faultbuild.Point{Name: "end of process: told, module not", File: coreLoop, Before: "		c.next = append(c.next, logic.Closing{"}, byTerm},
+	{faultbuild.Point{Name: "end of process: listeners about to close", File: coreRun, Before: "			open = false\n			var left"}, byTerm},
+	{faultbuild.Point{Name: "end of process: clients about to be ended", File: front, Before: "	c.closing, c.retiring, c.leaving = true, true, hurry"}, byTerm},
+	{faultbuild.Point{Name: "end of process: nothing more is read", File: front, Before: "	c.over.Store(true)"}, byTerm},
+	{faultbuild.Point{Name: "end of process: loop ended, clients left", File: coreRun, Before: "	close(c.done)\n	cancel() // ends"}, byTerm},
+}
+
+// modulePackage is the program, whatever folder of the module the build is started in.
+const modulePackage = "cometrack/cmd/cometrack"
+
+// faultPoints are the points as the build knows them, by their number.
+func faultPoints() (list []faultbuild.Point) {
+	for _, p := range points {
+		list = append(list, p.Point)
+	}
+	return list
+}
+
+// Build builds the program with the points to path.
+func Build(path string, changes ...faultbuild.Change) error {
+	own, err := faultbuild.Changes(faultPoints())
+	if err != nil {
+		return err
+	}
+	return faultbuild.Build(path, modulePackage, append(own, changes...)...)
+}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cometrack/internal/standin/faultbuild"
 )
 
 // Effect tells what a repeat of a message does.
@@ -58,6 +60,11 @@
 	Left     bool      // the client went away itself: what becomes of the message counts for nothing
 	Calls    []*Call
 	Notices  []Notice
+
+	hold   time.Duration // for which it may be delivered
+	port   int           // of its connection, at the client
+	dialed time.Time     // when that was made
+	end    int64         // where its request ends, in bytes from the start of the connection
 }
 
 // Accepted says that its client heard that it is taken on.
@@ -102,19 +109,20 @@
 type Records struct {
 	mu       sync.Mutex
 	messages map[string]*Message
-	kills    map[int][]time.Time // SIGKILL, by sender
-	outages  map[int][]Span      // from the first signal of a restart until the sender is ready again
-	stalls   map[int][]Span      // the process stood still
-	waits    map[route]Span      // the last wait that was told
-	unowed   []string            // calls and notices for messages that nobody handed in
-	other    []string            // faults that concern no message
+	kills    map[int][]time.Time              // SIGKILL, by sender
+	outages  map[int][]Span                   // from the first signal of a restart until the sender is ready again
+	stalls   map[int][]Span                   // the process stood still
+	waits    map[route]Span                   // the last wait that was told
+	traces   map[int][]*faultbuild.Connection // what each sender did with its clients' connections
+	unowed   []string                         // calls and notices for messages that nobody handed in
+	other    []string                         // faults that concern no message
 }
 
 // route is from a sender to a destination.
 type route struct{ sender, dest int }
 
 func newRecords() *Records {
-	return &Records{messages: map[string]*Message{}, waits: map[route]Span{}, kills: map[int][]time.Time{}, outages: map[int][]Span{}, stalls: map[int][]Span{}}
+	return &Records{messages: map[string]*Message{}, waits: map[route]Span{}, kills: map[int][]time.Time{}, outages: map[int][]Span{}, traces: map[int][]*faultbuild.Connection{}, stalls: map[int][]Span{}}
 }
 
 func (r *Records) add(m *Message) {
@@ -195,6 +203,25 @@
 	r.change(func() { r.outages[sender] = append(r.outages[sender], Span{from, to}) })
 }
 
+// traced notes what a sender did with its clients' connections.
+func (r *Records) traced(sender int, list []*faultbuild.Connection) {
+	r.change(func() { r.traces[sender] = list })
+}
+
+// readAt is when the sender had read the whole request of a message; zero if it never
+// had, or if its connection was broken.
+func (r *Records) readAt(m *Message) time.Time {
+	for _, c := range r.traces[m.Sender] {
+		if c.Port == m.port && c.Began.After(m.dialed) && c.Began.Before(m.Closed) {
+			if c.Broken {
+				return time.Time{}
+			}
+			return c.ReadAt(m.end)
+		}
+	}
+	return time.Time{}
+}
+
 func (r *Records) stalled(sender int, from, to time.Time) {
 	r.change(func() { r.stalls[sender] = append(r.stalls[sender], Span{from, to}) })
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -45,6 +45,8 @@
 	Faults faultbuild.Counts
 	Noise  time.Duration
 	Crowd  bool
+	// Crossings are the events at points of the program, in a run that has them.
+	Crossings *Crossings
 }
 
 // Run plays one run.
@@ -95,9 +97,14 @@
 		crowd = append(crowd, c)
 	}
 	noise := watchNoise(ctx)
+	var crossings sync.WaitGroup
+	if o.Crossings {
+		out.Crossings = f.playCrossings(o.Seed, &crossings)
+	}
 	for _, st := range f.play(o, start) {
 		out.Script = append(out.Script, fmt.Sprintf("%7.3f %s", st.at.Seconds(), st.text))
 	}
+	crossings.Wait()
 	f.busy.Wait()
 	f.calm()
 	time.Sleep(quiet)
@@ -109,6 +116,11 @@
 	f.endAll()
 	out.Noise = 2 * <-noise
 	for _, s := range f.senders {
+		list, err := faultbuild.Connections(s.trace)
+		if err != nil {
+			return out, err
+		}
+		f.records.traced(s.number, list)
 		x := s.controls.Counts()
 		out.Faults.Holds += x.Holds
 		out.Faults.Accepts += x.Accepts
@@ -138,6 +150,10 @@
 	if s.controls, err = faultbuild.NewControls(filepath.Join(o.Dir, fmt.Sprint("faults-", i))); err != nil {
 		return nil, err
 	}
+	s.trace = filepath.Join(o.Dir, fmt.Sprint("trace-", i))
+	if err := os.RemoveAll(s.trace); err != nil { // as its folder
+		return nil, err
+	}
 	s.controls.SetWall(f.clockStep(rand.New(rand.NewPCG(o.Seed, uint64(100+i))))) // off before the first start too
 	return s, s.writeConfig(o.Senders, f.pushed)
 }
@@ -164,6 +180,7 @@
 		s.controls.SetSyncs(0, 0)
 		s.controls.SetAccepts(0, 0)
 		s.controls.SetConnects(0, 0)
+		s.controls.SetLateConnects(0, 0)
 		s.controls.SetWriteHolds(0)
 	}
 }
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -15,6 +15,9 @@
 	Binary  string        // built by package faultbuild
 	Dir     string        // for folders of the senders and their logs
 	Faults  []string      // kinds to draw from; empty for all
+	// Crossings has every event come at every point of the program, once in each run. The
+	// program has to be built by [Build].
+	Crossings bool
 	// LoseFolder has senders' folders emptied at restarts: a planted fault.
 	LoseFolder bool
 }
@@ -27,7 +30,7 @@
 }
 
 // kindsOfFault are the faults that a script draws from.
-var kindsOfFault = []string{"endpoint", "connections", "discovery", "notices", "restart", "kill series", "reload", "clock", "disk", "accept", "connect", "stall", "drain"}
+var kindsOfFault = []string{"endpoint", "connections", "discovery", "notices", "restart", "kill series", "reload", "clock", "disk", "accept", "connect", "stall", "drain", "late"}
 
 // script draws the faults of a run.
 func (f *fleet) script(o Options) []step {
@@ -57,7 +60,7 @@
 		return 1 + rng.IntN(2)
 	case "connections", "drain":
 		return 2 + rng.IntN(len(f.endpoints))
-	case "clock", "stall":
+	case "clock", "stall", "late":
 		return len(f.senders)
 	}
 	return len(f.senders)/3 + 1
@@ -138,6 +141,8 @@
 		return during(fmt.Sprintf("connects of sender %d fail with %v", s.number, errno), func() { s.controls.SetConnects(0.3, errno) }, func() { s.controls.SetConnects(0, 0) })
 	case "stall":
 		return during(fmt.Sprintf("sender %d is held up before writes", s.number), func() { s.controls.SetWriteHolds(0.03) }, func() { s.controls.SetWriteHolds(0) })
+	case "late":
+		return during(fmt.Sprintf("connections of sender %d to endpoints come up late", s.number), func() { s.controls.SetLateConnects(0.5, f.platform.port()) }, func() { s.controls.SetLateConnects(0, 0) })
 	case "drain":
 		return []step{{at, fmt.Sprintf("endpoint %s drains", e.name), func() { f.list(e, "draining") }}, {at + length, fmt.Sprintf("endpoint %s is back", e.name), func() { f.list(e, "up") }}}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,7 +16,7 @@
 		length  = 6 * time.Second
 	)
 	path := filepath.Join(t.TempDir(), "cometrack")
-	if err := faultbuild.Build(path, "../../cmd/cometrack"); err != nil {
+	if err := Build(path); err != nil { // with the points of measure crossings: each must be in the program once
 		t.Fatal(err)
 	}
 	for _, seed := range []uint64{1, 2} {
@@ -102,3 +102,32 @@
 		}
 	}
 }
+
+// A request that was read and got no answer is a violation, however short a time before the end of its connection it
+// was written; one that was not read, or whose connection was broken by the harness, has only crossed that end.
+func TestJudgeOfReads(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for name, x := range map[string]struct {
+		read   int64
+		broken bool
+		kill   int // when the process was killed; 0 for never
+		want   int
+	}{
+		"read":              {100, false, 0, 1},
+		"read in part":      {99, false, 0, 0},
+		"broken":            {100, true, 0, 0},
+		"killed":            {100, false, 12, 0},
+		"killed long after": {100, false, 500, 1},
+	} {
+		r := newRecords()
+		r.add(&Message{ID: "m", Effect: Safe, Written: at(10), Deadline: at(1000), Closed: at(15), port: 7, dialed: at(0), end: 100})
+		r.traced(0, []*faultbuild.Connection{{Port: 7, Began: at(5), Reads: []faultbuild.Read{{At: at(11), Total: x.read}}, Broken: x.broken}})
+		if x.kill > 0 {
+			r.killed(0, at(x.kill))
+		}
+		if got := len(r.judge(start, repeatWindow, 0).Violations); got != x.want {
+			t.Errorf("%s: %d violations, want %d", name, got, x.want)
+		}
+	}
+}
--- a/internal/standin/faultbuild/controls.go
+++ b/internal/standin/faultbuild/controls.go
@@ -15,8 +15,8 @@
 const Variable = "COMETRACK_FAULT_PAGE"
 
 const (
-	pageFields     = 16
-	pageFieldsText = "16"
+	pageFields     = 512
+	pageFieldsText = "512"
 	pageBytesText  = "4096"
 	pageBytes      = 4096
 )
@@ -39,8 +39,19 @@
 	fieldConnectErrno
 	fieldConnectCount
 	fieldHoldWriteProbability
+	fieldFailNextWrite // the next write at an offset fails
+	fieldBreakNext     // the connection of the next write to one is shut
+	fieldArmedPoint    // the point at which an event comes, from 1; 0 for none
+	fieldArmedEvent
+	fieldArmedSkip // passes of the point that are let go
+	fieldLateProbability
+	fieldLateNotPort
+	fieldPoints = 64 // from here on, how often each point was passed
 )
 
+// MostPoints is the number of points that a page has room for.
+const MostPoints = pageFields - fieldPoints
+
 // Controls command the faults of the processes that were started with its
 // [Controls.Env], at any time.
 type Controls struct {
@@ -119,6 +130,12 @@
 	c.set(fieldConnectProbability, parts(probability))
 }
 
+// SetLateConnects has connects begin 0.3 to 0.9 s late, but for those to one port.
+func (c *Controls) SetLateConnects(probability float64, notPort int) {
+	c.set(fieldLateNotPort, int64(notPort))
+	c.set(fieldLateProbability, parts(probability))
+}
+
 // Counts are the faults that have come.
 type Counts struct{ Holds, Accepts, Writes, Syncs, Connects int64 }
 
--- a/internal/standin/faultbuild/overlay.go
+++ b/internal/standin/faultbuild/overlay.go
@@ -37,7 +37,7 @@
 	{"internal/poll/fd_unix.go", "	defer fd.decref()\n	var nn int\n	for {\n		max := len(p)\n		if fd.IsStream && max-nn > maxRW {\n			max = nn + maxRW\n		}\n		n, err := syscall.Pwrite(",
 		"	defer fd.decref()\n	if errno := syscall.FaultWrite(); errno != 0 {\n		n, _ := syscall.Pwrite(fd.Sysfd, p[:len(p)/2], off)\n		return n, errno\n	}\n	var nn int\n	for {\n		max := len(p)\n		if fd.IsStream && max-nn > maxRW {\n			max = nn + maxRW\n		}\n		n, err := syscall.Pwrite("},
 	{"internal/poll/fd_unix.go", "		n, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])\n",
-		"		if !fd.isFile {\n			syscall.FaultHoldWrite()\n		}\n		n, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])\n"},
+		"		if !fd.isFile {\n			syscall.FaultHoldWrite()\n			syscall.FaultBreak(fd.Sysfd)\n		}\n		n, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])\n"},
 	{"internal/poll/fd_unix.go", "		n, err := ignoringEINTRIO(syscall.Read, fd.Sysfd, p)\n",
 		"		n, err := ignoringEINTRIO(syscall.Read, fd.Sysfd, p)\n		if n > 0 && fd.IsStream && !fd.isFile {\n			syscall.FaultTrace('R', fd.Sysfd, n)\n		}\n"},
 	{"internal/poll/fd_unix.go", "func (fd *FD) Close() error {\n",
@@ -47,7 +47,7 @@
 	{"internal/poll/fd_fsync_posix.go", "	return ignoringEINTR(func() error {\n",
 		"	if errno := syscall.FaultSync(); errno != 0 {\n		return errno\n	}\n	return ignoringEINTR(func() error {\n"},
 	{"syscall/syscall_unix.go", "func Connect(fd int, sa Sockaddr) (err error) {\n",
-		"func Connect(fd int, sa Sockaddr) (err error) {\n	if errno := FaultConnect(); errno != 0 {\n		return errno\n	}\n"},
+		"func Connect(fd int, sa Sockaddr) (err error) {\n	if errno := FaultConnect(sa); errno != 0 {\n		return errno\n	}\n"},
 }
 
 const hooksFile = "syscall/fault_hooks.go"
@@ -76,6 +76,7 @@
 			panic("faultbuild: the trace can't be opened")
 		}
 		faultTrace = fd
+		FaultTrace('P', 0, Getpid())
 	}
 	path, ok := Getenv("` + Variable + `")
 	if !ok {
@@ -95,7 +96,7 @@
 }
 
 // FaultTrace adds a line to the trace: what has happened to a connection, its descriptor, the
-// port of its peer, 0 if that is not known any more, and a number of bytes.
+// port of its peer, 0 if that is not known any more, a number of bytes, and the time.
 func FaultTrace(event byte, fd, bytes int) {
 	if faultTrace < 0 || fd < 0 {
 		return
@@ -108,7 +109,9 @@
 	}
 	var line []byte
 	line = append(line, event)
-	for _, n := range [3]int{fd, port, bytes} {
+	var now Timespec
+	RawSyscall(SYS_CLOCK_GETTIME, 0, uintptr(unsafe.Pointer(&now)), 0)
+	for _, n := range [4]int{fd, port, bytes, int(now.Nano())} {
 		line = append(line, ' ')
 		line = faultAppendNumber(line, n)
 	}
@@ -169,6 +172,46 @@
 	}
 }
 
+// FaultBreak shuts a connection, if that is armed.
+func FaultBreak(fd int) {
+	if faultPage != nil && atomic.CompareAndSwapInt64(&faultPage[17], 1, 0) {
+		FaultTrace('B', fd, 0)
+		Shutdown(fd, SHUT_RDWR)
+	}
+}
+
+// FaultPoint notes that a point of the program is passed, and has the event come that is
+// armed there.
+func FaultPoint(point int) {
+	if faultPage == nil {
+		return
+	}
+	atomic.AddInt64(&faultPage[64+point], 1)
+	if atomic.LoadInt64(&faultPage[18]) != int64(point)+1 || atomic.AddInt64(&faultPage[20], -1) >= 0 ||
+		!atomic.CompareAndSwapInt64(&faultPage[18], int64(point)+1, 0) {
+		return
+	}
+	switch atomic.LoadInt64(&faultPage[19]) {
+	case 0:
+		faultStop()
+	case 1:
+		Kill(Getpid(), SIGKILL)
+		select {}
+	case 2:
+		Kill(Getpid(), SIGTERM)
+	case 3:
+		Kill(Getpid(), SIGHUP)
+	case 4:
+		atomic.StoreInt64(&faultPage[16], 1)
+	case 5:
+		atomic.StoreInt64(&faultPage[17], 1)
+	}
+}
+
+func nanosleep(span *Timespec) {
+	Syscall(SYS_NANOSLEEP, uintptr(unsafe.Pointer(span)), 0, 0)
+}
+
 // FaultAccept, FaultWrite, FaultSync and FaultConnect tell the error of a call; 0 for none.
 func FaultAccept() Errno {
 	if faultDraw(3, 5) {
@@ -178,6 +221,9 @@
 }
 
 func FaultWrite() Errno {
+	if faultPage != nil && atomic.CompareAndSwapInt64(&faultPage[16], 1, 0) {
+		return ENOSPC
+	}
 	if faultDraw(6, 8) {
 		return Errno(faultField(7))
 	}
@@ -191,7 +237,12 @@
 	return 0
 }
 
-func FaultConnect() Errno {
+func FaultConnect(to Sockaddr) Errno {
+	inet, ok := to.(*SockaddrInet4)
+	if ok && int64(inet.Port) != faultField(22) && faultDraw(21, 14) { // it comes up late
+		late := Timespec{Nsec: 300_000_000 + int64(faultRandom.Load()%600_000_000)}
+		nanosleep(&late)
+	}
 	if faultDraw(12, 14) {
 		return Errno(faultField(13))
 	}
@@ -221,12 +272,15 @@
 // writeOverlay writes the patched copies below dir, and the file that names them for
 // the compiler.
 func writeOverlay(dir string, changes ...Change) (path string, err error) {
-	out, err := exec.Command("go", "env", "GOROOT", "GOMOD").Output()
+	root, err := goEnv("GOROOT")
 	if err != nil {
-		return "", fmt.Errorf("go env: %w", err)
+		return "", err
+	}
+	module, err := moduleTop()
+	if err != nil {
+		return "", err
 	}
-	where := strings.Fields(string(out))
-	source, module := filepath.Join(where[0], "src"), filepath.Dir(where[1])
+	source := filepath.Join(root, "src")
 	texts := map[string]string{filepath.Join(source, hooksFile): hooksSource}
 	for _, p := range patches {
 		if err := replaceOnce(texts, filepath.Join(source, p.file), p.old, p.new); err != nil {
@@ -254,6 +308,21 @@
 	return path, os.WriteFile(path, b, 0o600)
 }
 
+// goEnv asks the go command for one of its variables.
+func goEnv(name string) (string, error) {
+	out, err := exec.Command("go", "env", name).Output()
+	if err != nil {
+		return "", fmt.Errorf("go env: %w", err)
+	}
+	return strings.TrimSpace(string(out)), nil
+}
+
+// moduleTop is the folder of this module.
+func moduleTop() (string, error) {
+	file, err := goEnv("GOMOD")
+	return filepath.Dir(file), err
+}
+
 // replaceOnce replaces a piece of a file, which is read unless texts has it already.
 func replaceOnce(texts map[string]string, file, before, after string) error {
 	text, ok := texts[file]
--- a/internal/standin/faultbuild/trace.go
+++ b/internal/standin/faultbuild/trace.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
+	"time"
 )
 
 // TraceVariable names the environment variable that tells a program the file to which
@@ -12,42 +15,80 @@
 
 // Connection is what a program did with one connection.
 type Connection struct {
-	Port int   // of its peer
-	Read int64 // bytes that were read before the program ended its side
-	Shut bool  // it ended its side, or closed the connection
+	Port  int // of its peer
+	Began time.Time
+	Reads []Read    // until the program ended its side, in order
+	Shut  time.Time // when it ended its side, or closed the connection; zero if it never did
+	// Broken says that a [Break] came on it: what became of it is not the program's doing.
+	Broken bool
+}
+
+// Read is a read from a connection.
+type Read struct {
+	At    time.Time
+	Total int64 // bytes that have been read with it
+}
+
+// ReadAt is when a byte, counted from 1, had been read; zero if it never was.
+func (c *Connection) ReadAt(n int64) time.Time {
+	for _, r := range c.Reads {
+		if r.Total >= n {
+			return r.At
+		}
+	}
+	return time.Time{}
 }
 
 // Connections reads a trace: the connections in the order in which the program first
-// read from them or ended them.
+// read from them or ended them. There are none if there is no file.
 func Connections(path string) ([]*Connection, error) {
 	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
 	if err != nil {
 		return nil, err
 	}
 	var list []*Connection
-	open := map[int]*Connection{} // by descriptor
+	open := map[int]*Connection{} // of the process at hand, by descriptor
 	for line := range bytes.Lines(text) {
 		var event byte
 		var descriptor, port int
-		var read int64
-		if _, err := fmt.Sscanf(string(line), "%c %d %d %d", &event, &descriptor, &port, &read); err != nil {
+		var number, nanoseconds int64
+		if _, err := fmt.Sscanf(string(line), "%c %d %d %d %d", &event, &descriptor, &port, &number, &nanoseconds); err != nil {
 			return nil, fmt.Errorf("the trace has the line %q: %w", line, err)
 		}
+		if event == 'P' { // another process
+			clear(open)
+			continue
+		}
+		at := time.Unix(0, nanoseconds)
 		c := open[descriptor]
 		if c == nil {
-			c = &Connection{Port: port}
+			c = &Connection{Port: port, Began: at}
 			open[descriptor] = c
 			list = append(list, c)
 		}
+		if event == 'B' {
+			c.Broken = true
+		}
+		if !c.Shut.IsZero() {
+			if event == 'C' {
+				delete(open, descriptor)
+			}
+			continue
+		}
 		switch event {
 		case 'R':
-			if !c.Shut {
-				c.Read += read
+			total := number
+			if n := len(c.Reads); n > 0 {
+				total += c.Reads[n-1].Total
 			}
+			c.Reads = append(c.Reads, Read{at, total})
 		case 'S':
-			c.Shut = true
+			c.Shut = at
 		case 'C':
-			c.Shut = true
+			c.Shut = at
 			delete(open, descriptor)
 		}
 	}
