Count a kept connection's idle time on where its attempt was withheld

What callers saw: an unsafe message could fail for a reset (may have run) on a connection that its endpoint had closed for its age.

Cause: a kept connection that was taken for an attempt which was then withheld (a wait, a drain, the end of the message) went back as if it had been used just now, so that it was held for good for up to twice the endpoint's idle time.

Change: it goes back with the age that it had, at its place in the order.

Evidence: TestWithheldAttemptLeavesIdleTime fails before ("idle for 0s"-like age in place of 5 s), passes after; package passed under the race detector.

--- a/internal/transport/http/calls.go
+++ b/internal/transport/http/calls.go
@@ -116,7 +116,7 @@
 	deadline := time.Now().Add(in.GiveUp)
 	conn, err := c.connect(ctx, in.Attempt, deadline)
 	if !in.begin() {
-		if err == nil && !c.put(in.Endpoint, conn) {
+		if err == nil && !c.putBack(in.Endpoint, conn) {
 			c.drop(conn)
 		}
 		if err != nil && !ownFault(err) && in.reason() == permit.CalledOff { // the endpoint did not take it until then
@@ -388,14 +388,25 @@
 
 // put keeps a connection for the next call; false if there is no room.
 func (c *Transport) put(ep logic.EndpointID, conn *idleConn) bool {
+	conn.since = time.Now()
+	return c.putBack(ep, conn)
+}
+
+// putBack keeps a connection on which no call was made after all: it has been idle for as
+// long as before, to its endpoint too. It is false if there is no room.
+func (c *Transport) putBack(ep logic.EndpointID, conn *idleConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[ep]) >= c.most.PerEndpoint || c.count >= c.most.Idle {
+	list := c.idle[ep]
+	if len(list) >= c.most.PerEndpoint || c.count >= c.most.Idle {
 		return false
 	}
-	conn.since = time.Now()
+	if conn.since.IsZero() { // new
+		conn.since = time.Now()
+	}
 	conn.SetDeadline(time.Time{})
-	c.idle[ep] = append(c.idle[ep], conn)
+	at, _ := slices.BinarySearchFunc(list, conn.since, func(x *idleConn, since time.Time) int { return x.since.Compare(since) })
+	c.idle[ep] = slices.Insert(list, at, conn)
 	c.count++
 	return true
 }
--- a/internal/transport/http/calls_test.go
+++ b/internal/transport/http/calls_test.go
@@ -327,3 +327,23 @@
 		t.Errorf("%d idle, %d open", c.count, c.open)
 	}
 }
+
+// A kept connection that was taken for an attempt which was withheld counted as used, and the next request was written
+// to it after its endpoint had closed it: it has been idle for as long as before.
+func TestWithheldAttemptLeavesIdleTime(t *testing.T) {
+	e, c := byhand.NewEndpoint(t), testCaller()
+	c.settle = 0
+	got := goDo(t.Context(), c, newCall(e.Addr(), "hello", byhand.Patience))
+	byhand.Await(t, e.Calls, "call").Reply(200)
+	byhand.Await(t, got, "result")
+	since := time.Now().Add(-5 * time.Second)
+	c.idle[1][0].since = since
+	withheld := newCall(e.Addr(), "hello", byhand.Patience)
+	withheld.Withhold(permit.WaitTold)
+	if r := c.Attempt(t.Context(), withheld); r.Outcome != logic.Moot {
+		t.Fatalf("a withheld attempt ends as %+v", r)
+	}
+	if list := c.idle[1]; len(list) != 1 || !list[0].since.Equal(since) {
+		t.Errorf("%d connections are kept, idle for %v", len(list), time.Since(list[0].since))
+	}
+}
