Read the boot's clock and the process's clock together, though the process is held up

What callers saw: after a start that was held up for 0.15 s between the two readings, all times from before it were off by that: messages could be sent up to 0.15 s after their time, and their ends told as late.

In a new folder the error is kept for all starts that follow.

Change: the readings are made again, eight times at most, until they lie within 1 ms of each other; the closest pair counts.

Evidence: TestClocksAreReadTogether fails with a single reading (off by 150 ms), passes after.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"math"
 	"os"
 	"strings"
 	"time"
@@ -67,18 +68,53 @@
 
 // systemBoot reads the clocks. On a system that lacks them the id is empty.
 func systemBoot() boot {
-	out := boot{moment: time.Now()}
-	var ts unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+	out, ok := readTogether(time.Now, sinceBoot)
+	if !ok {
 		return out
 	}
-	out.since = ts.Nano() / int64(time.Microsecond)
 	if id, err := os.ReadFile("/proc/sys/kernel/random/boot_id"); err == nil {
 		out.id = strings.TrimSpace(string(id))
 	}
 	return out
 }
 
+// sinceBoot is the time since the boot in microseconds, sleep counted.
+func sinceBoot() (int64, bool) {
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+		return 0, false
+	}
+	return ts.Nano() / int64(time.Microsecond), true
+}
+
+const (
+	// readings are made at most until two clocks are read within togetherness of each
+	// other: a process that is held up in between would be off by that from then on.
+	readings     = 8
+	togetherness = time.Millisecond
+)
+
+// readTogether reads two clocks at one moment, as closely as it can; false if the second
+// can't be read.
+func readTogether(now func() time.Time, since func() (int64, bool)) (out boot, ok bool) {
+	least := time.Duration(math.MaxInt64)
+	for range readings {
+		before := now()
+		us, ok := since()
+		apart := now().Sub(before)
+		if !ok {
+			return boot{moment: before}, false
+		}
+		if apart < least {
+			least, out = apart, boot{since: us, moment: before}
+		}
+		if least < togetherness {
+			break
+		}
+	}
+	return out, true
+}
+
 func start(kept *Epoch, latest int64, b boot) (c *Clock, epoch Epoch, known bool) {
 	if kept != nil && b.id != "" && kept.Boot == b.id {
 		return New(b.since+kept.Offset, b.moment), *kept, true
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -86,3 +86,25 @@
 		t.Errorf("%+v", b)
 	}
 }
+
+// The sender's time was off by as long as the process was held up between its readings of two clocks, from one start to
+// the next: the readings are made again then.
+func TestClocksAreReadTogether(t *testing.T) {
+	const stall = 150 * time.Millisecond
+	for held := range 2 * readings { // the look at a clock that the process is held up behind
+		start, elapsed, looks := time.Unix(1_700_000_000, 0), time.Duration(0), 0
+		look := func() time.Duration {
+			at := elapsed
+			if elapsed += time.Microsecond; looks == held {
+				elapsed += stall
+			}
+			looks++
+			return at
+		}
+		b, ok := readTogether(func() time.Time { return start.Add(look()) },
+			func() (int64, bool) { return look().Microseconds(), true })
+		if off := b.moment.Sub(start) - time.Duration(b.since)*time.Microsecond; !ok || off.Abs() > togetherness {
+			t.Errorf("held up behind look %d: the clocks are off by %v", held, off)
+		}
+	}
+}
