Answer all requests that were read before a connection ends for its errors

Change: what has been read is answered with the same error, also a request that has come in part; nothing more is read.

--- a/internal/front/resp/crossing_test.go
+++ b/internal/front/resp/crossing_test.go
@@ -441,3 +441,27 @@
 		t.Errorf("%d requests are acted upon", n)
 	}
 }
+
+// Requests that were read together with the one on which a connection ends for its errors got no answer.
+func TestTooManyErrorsAnswersAllThatWasRead(t *testing.T) {
+	f, _ := serveCrossing(t, yes{}, Options{Connections: 1})
+	c := dial(t, f)
+	for i := range maxErrors - 1 {
+		if got := c.do("NONSENSE"); !strings.HasPrefix(got, "-ERR") {
+			t.Fatalf("error %d: %q", i, got)
+		}
+	}
+	const requests = 40
+	io.WriteString(c.conn, strings.Repeat("*1\r\n$8\r\nNONSENSE\r\n", requests)+putLate[:10])
+	for i := range requests {
+		if got := c.line(); !strings.HasPrefix(got, "-ERR") {
+			t.Errorf("request %d: %q", i, got)
+		}
+	}
+	if got := c.line(); got+"\r\n" != answerTooMany {
+		t.Errorf("the one that has come in part gets %q", got)
+	}
+	if got := c.ended(); got != "" {
+		t.Errorf("more: %q", got)
+	}
+}
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -180,7 +180,7 @@
 	for first := true; first || s.await(false); first = false {
 		if n := s.errors.Load(); n >= maxErrors {
 			s.closed = closedErrors
-			s.send(answer{line: answerTooMany})
+			s.refuseBuffered()
 			return
 		} else if n > 0 {
 			time.Sleep(time.Duration(n) * errorPause)
@@ -225,6 +225,21 @@
 	}
 }
 
+// refuseBuffered answers the request that has begun to come, and all that were read with
+// it, before the connection ends.
+func (s *session) refuseBuffered() {
+	s.conn.SetReadDeadline(time.Now()) // nothing more is read
+	for {
+		_, err := readCommand(s.reader(), func() error { return errNoPlace })
+		s.came(err == nil)
+		s.send(answer{line: answerTooMany})
+		if err != nil || s.r.Buffered() == 0 {
+			return
+		}
+		s.begin()
+	}
+}
+
 // requestBy is when the request that has begun to come must be whole.
 func (s *session) requestBy(first bool) time.Time {
 	if by := s.opened.Add(firstRequest); first && time.Until(by) > lastRequest {
@@ -297,9 +312,21 @@
 		s.closed = closedForRoom
 		return false
 	}
+	s.beginLocked()
+	return true
+}
+
+// begin notes that a request has begun to come.
+func (s *session) begin() {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	s.beginLocked()
+}
+
+// beginLocked is begin under the lock.
+func (s *session) beginLocked() {
 	s.open++
 	s.begun, s.buffered = true, false
-	return true
 }
 
 // live keeps a connection that was told to end, since it turns out not to rest; false
--- a/internal/soak/points.go
+++ b/internal/soak/points.go
@@ -41,7 +41,7 @@
 	{faultbuild.Point{Name: "start: said", File: coreRun, Before: "	close(c.ready)\n	served :="}, byStart},
 	{faultbuild.Point{Name: "client: accepted", File: front, Before: "		s := &session{c: c, conn: conn"}, byTraffic},
 	{faultbuild.Point{Name: "client: admitted", File: front, Before: "		go func() {\n			defer c.wg.Done()"}, byTraffic},
-	{faultbuild.Point{Name: "client: first byte there", File: session, Before: "	s.open++\n"}, byTraffic},
+	{faultbuild.Point{Name: "client: first byte there", File: session, Before: "	s.beginLocked()\n	return true"}, byTraffic},
 	{faultbuild.Point{Name: "client: request read, not noted", File: session, Before: "		live := s.came(err == nil)"}, byTraffic},
 	{faultbuild.Point{Name: "client: request noted, not submitted", File: "internal/front/resp/commands.go", Before: "		s.c.core.Submit(m, later)"}, byTraffic},
 	{faultbuild.Point{Name: "client: answer there, not written", File: session, Before: "		if err == nil {\n			s.conn.SetWriteDeadline(time.Now().Add(answerTime))\n			_, err = w.WriteString(line)"}, byTraffic},
