--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -178,7 +178,11 @@
 			told(w, x.Forget(name), "forgotten: "+name)
 		}},
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		w := &statusWriter{ResponseWriter: out, status: http.StatusOK}
+		defer func() {
+			c.log.Debug("console", "method", r.Method, "path", r.URL.Path, "status", w.status)
+		}()
 		at, ok := routes[r.URL.Path]
 		if x := c.cluster.Load(); !ok && x != nil {
 			if to, is := others[r.URL.Path]; is {
@@ -210,6 +214,18 @@
 	})
 }
 
+// statusWriter keeps the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader is [http.ResponseWriter.WriteHeader].
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // Ask makes one call to a console and returns its text; an error says no.
 func Ask(ctx context.Context, addr, method, path string) (string, error) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
