Have processes that are started beside another in measure crossings too

Need: upgrades with signals and breaks at each step were played by nobody. Nine points of the handover, on either side; the second process serves if it can, else the first has to go on, else another is started. The trace tells processes apart.

--- a/internal/soak/crossings.go
+++ b/internal/soak/crossings.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +21,7 @@
 	startPatience   = 2 * time.Second         // for a start to
 	pairPatience    = 400 * time.Millisecond  // for a second event
 	pollEvery       = time.Millisecond
+	pollPong        = 100 * time.Millisecond
 	pairShare       = 0.5 // of the crossings that a second event follows at once
 	mostSkipped     = 3   // passes of a point by traffic before the event
 	tries           = 4   // of a crossing whose point is not passed in time
@@ -167,6 +171,14 @@
 			return true
 		}
 	}
+	var next *process
+	if points[x.point].trigger == byUpgrade {
+		var err error
+		if next, err = s.startBeside(x); err != nil {
+			f.fail(err)
+			return true
+		}
+	}
 	came := s.awaitCrossing(patience)
 	out.note(s.number, x, came)
 	events := map[faultbuild.Event]bool{x.event: came}
@@ -178,6 +190,12 @@
 			events[second.event] = true
 		}
 	}
+	if next != nil {
+		if err := s.serveAfterUpgrade(from, next); err != nil {
+			s.records.fault("sender %d: %v after %v", s.number, err, x)
+		}
+		return came
+	}
 	now := time.Now()
 	told := points[x.point].trigger == byTerm || events[faultbuild.Terminate]
 	if err := s.serveAgain(from, now, told, events[faultbuild.Kill], points[x.point].trigger == byStart); err != nil {
@@ -231,3 +249,97 @@
 	}
 	return s.process().Ready()
 }
+
+// startBeside starts a second process of the sender, with an event armed.
+func (s *sender) startBeside(x crossing) (*process, error) {
+	s.controls.Arm(x.point, x.event, 0)
+	return s.start()
+}
+
+const (
+	takeOverTime = 6 * time.Second // for a process that is started beside another to serve
+	goOnTime     = 3 * time.Second // for the one before it to say that it serves on
+)
+
+// serveAfterUpgrade sees to it that one process serves after a second one was started,
+// whatever has come to either: the second if it can, or the first if it goes on, or
+// another.
+func (s *sender) serveAfterUpgrade(from time.Time, next *process) error {
+	before := s.process()
+	defer func() { s.records.outage(s.number, from, time.Now()) }()
+	note := func(p *process) {
+		if !p.running() {
+			s.records.killed(s.number, time.Now())
+		}
+	}
+	note(before)
+	note(next)
+	if s.readyWithin(next, takeOverTime) {
+		if before.running() {
+			before.Signal(syscall.SIGTERM)
+			if !before.endsWithin(killAfter) {
+				s.records.fault("sender %d: the process before did not end within %v of SIGTERM", s.number, killAfter)
+			}
+		}
+		before.kill()
+		s.serveBy(next)
+		if next.running() && s.pong(goOnTime) {
+			return nil
+		}
+		return s.startAnew(next)
+	}
+	note(next)
+	if next.running() {
+		s.records.fault("sender %d: a process beside another is not ready after %v", s.number, takeOverTime)
+	}
+	next.kill()
+	if before.running() && s.pong(goOnTime) {
+		return nil
+	}
+	return s.startAnew(before)
+}
+
+// startAnew ends the sender's process, if it has not ended, and starts another.
+func (s *sender) startAnew(last *process) error {
+	last.Signal(syscall.SIGTERM)
+	last.endsWithin(killAfter)
+	s.kill()
+	s.records.restarts(s.number)
+	time.Sleep(startAfter)
+	if err := s.launch(); err != nil {
+		return err
+	}
+	return s.process().Ready()
+}
+
+// readyWithin says whether a process is ready within a time, and has not ended.
+func (s *sender) readyWithin(p *process, within time.Duration) bool {
+	ready := make(chan bool, 1)
+	go func() { ready <- p.Ready() == nil }()
+	late := time.NewTimer(within)
+	defer late.Stop()
+	select {
+	case ok := <-ready:
+		return ok && p.running()
+	case <-late.C:
+		return false
+	}
+}
+
+// pong says whether the sender answers a PING with yes within a time.
+func (s *sender) pong(within time.Duration) bool {
+	for by := time.Now().Add(within); time.Now().Before(by); time.Sleep(pollPong) {
+		conn, err := net.DialTimeout("tcp", s.addr, pollPong)
+		if err != nil {
+			continue
+		}
+		conn.SetDeadline(time.Now().Add(pollPong))
+		io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+		line, _ := bufio.NewReader(conn).ReadString('\n')
+		conn.Close()
+		if line == "+PONG\r\n" {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -41,9 +41,47 @@
 
 	life sync.Mutex // held while it is being restarted
 	mu   sync.Mutex
-	proc *program.Program
-	stop chan struct{} // of what resumes it
-	done chan struct{}
+	proc *process
+}
+
+// process is one process of a sender.
+type process struct {
+	*program.Program
+	stop chan struct{} // of what resumes it when it is held up
+	done chan struct{} // closed when that has ended
+}
+
+// running says whether it has not ended.
+func (p *process) running() bool {
+	select {
+	case err := <-p.Done:
+		p.Done <- err
+		return false
+	default:
+		return true
+	}
+}
+
+// endsWithin says whether it ends within a time.
+func (p *process) endsWithin(within time.Duration) bool {
+	late := time.NewTimer(within)
+	defer late.Stop()
+	select {
+	case err := <-p.Done:
+		p.Done <- err
+		return true
+	case <-late.C:
+		return !p.running()
+	}
+}
+
+// kill ends it with SIGKILL, if it has not ended by itself, and waits until it is gone.
+func (p *process) kill() {
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGKILL)
+	p.endsWithin(program.Patience)
+	close(p.stop)
+	<-p.done
 }
 
 // settings are those of a sender's deployment. The window for repeats is short.
@@ -83,28 +121,41 @@
 
 // launch starts the process. It does not wait until it is ready.
 func (s *sender) launch() error {
-	p, err := program.Launch(s.binary, []string{fmt.Sprint("BALANCER_NAME=n", s.number), "BALANCER_LISTEN=" + s.addr, "BALANCER_DISCOVERY=" + s.platform.addr(),
+	p, err := s.start()
+	if err == nil {
+		s.serveBy(p)
+	}
+	return err
+}
+
+// serveBy takes a process for the sender's from here on.
+func (s *sender) serveBy(p *process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proc = p
+}
+
+// start starts a process of the sender.
+func (s *sender) start() (*process, error) {
+	started, err := program.Launch(s.binary, []string{fmt.Sprint("BALANCER_NAME=n", s.number), "BALANCER_LISTEN=" + s.addr, "BALANCER_DISCOVERY=" + s.platform.addr(),
 		"BALANCER_STATE=" + s.dir, "BALANCER_CONFIG=" + s.config, "COMETRACK_LOG=debug", s.controls.Env(), faultbuild.TraceVariable + "=" + s.trace})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	stop, done := make(chan struct{}), make(chan struct{})
-	rng := rand.New(rand.NewPCG(uint64(p.Cmd.Process.Pid), 0))
+	p := &process{started, make(chan struct{}), make(chan struct{})}
+	pid := p.Cmd.Process.Pid
+	rng := rand.New(rand.NewPCG(uint64(pid), 0))
 	go func() {
-		defer close(done)
-		var from time.Time
-		faultbuild.Resume(p.Cmd.Process.Pid, func() time.Duration {
-			from = time.Now()
+		defer close(p.done)
+		faultbuild.Resume(pid, func() time.Duration {
+			from := time.Now()
 			d := longStall/3 + time.Duration(rng.Int64N(int64(longStall*2/3)))
 			s.records.stalled(s.number, from.Add(-5*time.Millisecond), from.Add(d+5*time.Millisecond))
 			return d
-		}, stop)
+		}, p.stop)
 	}()
-	go s.follow(p)
-	s.mu.Lock()
-	s.proc, s.stop, s.done = p, stop, done
-	s.mu.Unlock()
-	return nil
+	go s.follow(started)
+	return p, nil
 }
 
 // follow keeps the log of a process and looks for what must not stand in it.
@@ -119,7 +170,7 @@
 	}
 }
 
-func (s *sender) process() *program.Program {
+func (s *sender) process() *process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.proc
@@ -128,41 +179,16 @@
 func (s *sender) signal(x syscall.Signal) { s.process().Signal(x) }
 
 // ended says whether the process ends within a time.
-func (s *sender) ended(within time.Duration) bool {
-	p := s.process()
-	select {
-	case err := <-p.Done:
-		p.Done <- err
-		return true
-	case <-time.After(within):
-		return false
-	}
-}
-
-// running says whether the process has not ended.
-func (s *sender) running() bool {
-	p := s.process()
-	select {
-	case err := <-p.Done:
-		p.Done <- err
-		return false
-	default:
-		return true
-	}
-}
+func (s *sender) ended(within time.Duration) bool { return s.process().endsWithin(within) }
 
 // kill ends the process with SIGKILL, if it has not ended by itself, and waits until it
 // is gone.
 func (s *sender) kill() {
 	p := s.process()
-	if s.running() {
+	if p.running() {
 		s.records.killed(s.number, time.Now())
 	}
-	p.Signal(syscall.SIGCONT)
-	p.Signal(syscall.SIGKILL)
-	s.ended(program.Patience)
-	close(s.stop)
-	<-s.done
+	p.kill()
 }
 
 // restart takes the process through a planned or unplanned restart: with SIGTERM and, at
--- a/internal/soak/points.go
+++ b/internal/soak/points.go
@@ -10,6 +10,7 @@
 	byTerm                   // SIGTERM
 	byStart                  // a start
 	byReload                 // SIGHUP
+	byUpgrade                // a process that is started beside the one that serves
 )
 
 // point is a place in the program between two steps that belong together.
@@ -27,6 +28,7 @@
 	session     = "internal/front/resp/session.go"
 	front       = "internal/front/resp/clients.go"
 	notices     = "internal/sink/notices/notices.go"
+	handingOver = "internal/core/handover.go"
 	startup     = "internal/daemon/platform.go"
 )
 
@@ -67,7 +69,7 @@
 	{faultbuild.Point{Name: "call: begun, not written", File: transport, Before: "	limit := &cutoff{conn: conn"}, byTraffic},
 	{faultbuild.Point{Name: "call: written, not noted", File: transport, Before: "	in.written()\n	conn.limit.N"}, byTraffic},
 	{faultbuild.Point{Name: "call: answer read", File: transport, Before: "	if conn.limit.N <= 0 && r.Outcome"}, byTraffic},
-	{faultbuild.Point{Name: "call: connection about to be kept", File: transport, Before: "	conn.since = time.Now()\n	conn.SetDeadline(time.Time{})"}, byTraffic},
+	{faultbuild.Point{Name: "call: connection about to be kept", File: transport, Before: "	at, _ := slices.BinarySearchFunc("}, byTraffic},
 	{faultbuild.Point{Name: "call: outcome there, not posted", File: coreAttempt, Before: "		took := time.Since(at)"}, byTraffic},
 	{faultbuild.Point{Name: "outcome: taken, not noted", File: coreAttempt, Before: "	c.traceReply(ev)"}, byTraffic},
 	{faultbuild.Point{Name: "outcome: delivered, not finished", File: coreAttempt, Before: "	c.traceEnd(id, h, message.Delivered)"}, byTraffic},
@@ -79,6 +81,15 @@
 	{faultbuild.Point{Name: "reload: read, not checked", File: startup, Before: "			err = p.cfg.CanFollow(cfg)"}, byReload},
 	{faultbuild.Point{Name: "reload: settings follow, not kept", File: startup, Before: "		p.cfg = cfg\n		p.keep()"}, byReload},
 	{faultbuild.Point{Name: "reload: notices about to move", File: startup, Before: "		p.sink.Move(cfg.Discovery)"}, byReload},
+	{faultbuild.Point{Name: "handover: asked for, not begun", File: handingOver, Before: "		c.successor = &ev"}, byUpgrade},
+	{faultbuild.Point{Name: "handover: snapshot there, journal open", File: handingOver, Before: "	taken := false\n	c.closeBacklog()"}, byUpgrade},
+	{faultbuild.Point{Name: "handover: journal shut, nothing given", File: handingOver, Before: "		var listeners []net.Listener"}, byUpgrade},
+	{faultbuild.Point{Name: "handover: snapshot read, journal not opened", File: "internal/daemon/handover.go", Before: "			if kept, err = open(); err == nil {\n				return kept, in, nil"}, byUpgrade},
+	{faultbuild.Point{Name: "handover: journal opened, not said", File: "internal/core/inherit.go", Before: "	c.log.Info(\"taken over\""}, byUpgrade},
+	{faultbuild.Point{Name: "handover: taken, not noted", File: handingOver, Before: "		c.life.Tell(lifecycle.TakenOver)"}, byUpgrade},
+	{faultbuild.Point{Name: "handover: about to relay", File: "internal/core/relay.go", Before: "	var late <-chan time.Time"}, byUpgrade},
+	{faultbuild.Point{Name: "handover: outcome about to be told", File: "internal/core/relay.go", Before: "	if len(list.List) > 0 {"}, byUpgrade},
+	{faultbuild.Point{Name: "handover: outcome about to be taken", File: "internal/core/inherit.go", Before: "		delete(c.remote, o.ID)\n		h.stop = func() {}\n		c.reply(reply{attempt: h.attempt, took: o.Took"}, byUpgrade},
 	{faultbuild.Point{Name: "end of process: told, module not", File: coreLoop, Before: "		c.next = append(c.next, logic.Closing{"}, byTerm},
 	{faultbuild.Point{Name: "end of process: listeners about to close", File: coreRun, Before: "			open = false\n			var left"}, byTerm},
 	{faultbuild.Point{Name: "end of process: clients about to be ended", File: front, Before: "	c.closing, c.retiring, c.leaving = true, true, hurry"}, byTerm},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -196,8 +196,9 @@
 			} else if err := s.exitStatus(); err != nil {
 				f.records.fault("sender %d: ended with %v", s.number, err)
 			}
-			close(s.stop)
-			<-s.done
+			p := s.process()
+			close(p.stop)
+			<-p.done
 		})
 	}
 	all.Wait()
--- a/internal/standin/faultbuild/overlay.go
+++ b/internal/standin/faultbuild/overlay.go
@@ -76,7 +76,6 @@
 			panic("faultbuild: the trace can't be opened")
 		}
 		faultTrace = fd
-		FaultTrace('P', 0, Getpid())
 	}
 	path, ok := Getenv("` + Variable + `")
 	if !ok {
@@ -96,7 +95,8 @@
 }
 
 // FaultTrace adds a line to the trace: what has happened to a connection, its descriptor, the
-// port of its peer, 0 if that is not known any more, a number of bytes, and the time.
+// port of its peer, 0 if that is not known any more, a number of bytes, the time, and the
+// process.
 func FaultTrace(event byte, fd, bytes int) {
 	if faultTrace < 0 || fd < 0 {
 		return
@@ -111,7 +111,7 @@
 	line = append(line, event)
 	var now Timespec
 	RawSyscall(SYS_CLOCK_GETTIME, 0, uintptr(unsafe.Pointer(&now)), 0)
-	for _, n := range [4]int{fd, port, bytes, int(now.Nano())} {
+	for _, n := range [5]int{fd, port, bytes, int(now.Nano()), Getpid()} {
 		line = append(line, ' ')
 		line = faultAppendNumber(line, n)
 	}
--- a/internal/standin/faultbuild/trace.go
+++ b/internal/standin/faultbuild/trace.go
@@ -50,23 +50,21 @@
 		return nil, err
 	}
 	var list []*Connection
-	open := map[int]*Connection{} // of the process at hand, by descriptor
+	type handle struct{ process, descriptor int }
+	open := map[handle]*Connection{}
 	for line := range bytes.Lines(text) {
 		var event byte
-		var descriptor, port int
+		var of handle
+		var port int
 		var number, nanoseconds int64
-		if _, err := fmt.Sscanf(string(line), "%c %d %d %d %d", &event, &descriptor, &port, &number, &nanoseconds); err != nil {
+		if _, err := fmt.Sscanf(string(line), "%c %d %d %d %d %d", &event, &of.descriptor, &port, &number, &nanoseconds, &of.process); err != nil {
 			return nil, fmt.Errorf("the trace has the line %q: %w", line, err)
 		}
-		if event == 'P' { // another process
-			clear(open)
-			continue
-		}
 		at := time.Unix(0, nanoseconds)
-		c := open[descriptor]
+		c := open[of]
 		if c == nil {
 			c = &Connection{Port: port, Began: at}
-			open[descriptor] = c
+			open[of] = c
 			list = append(list, c)
 		}
 		if event == 'B' {
@@ -74,7 +72,7 @@
 		}
 		if !c.Shut.IsZero() {
 			if event == 'C' {
-				delete(open, descriptor)
+				delete(open, of)
 			}
 			continue
 		}
@@ -89,7 +87,7 @@
 			c.Shut = at
 		case 'C':
 			c.Shut = at
-			delete(open, descriptor)
+			delete(open, of)
 		}
 	}
 	return list, nil
