Give the process that handed over time to call off its calls when the link breaks

Cause: the new process took the calls of the old one for ended in the instant in which the link broke, and sent again what may be sent again; the old one had them out still. That a process dies is not what the end of a link says.

Evidence: TestCallsOutOutliveTheLink fails without the wait (0 s), passes with it, in virtual time.

--- a/internal/core/inherit.go
+++ b/internal/core/inherit.go
@@ -9,11 +9,20 @@
 	"cometrack/internal/handover"
 	"cometrack/internal/journal"
 	"cometrack/internal/message"
+	"cometrack/internal/permit"
 	"cometrack/logic"
 )
 
 // The side of a handover that takes over.
 
+const (
+	// DyingTime is how long the journal's lock of a process that dies may be found taken.
+	DyingTime = 150 * time.Millisecond
+	// remoteGrace is for the process that handed over to see that the link has broken and to
+	// call off what it has out, though it is held up meanwhile.
+	remoteGrace = DyingTime + permit.MaxStall + 100*time.Millisecond
+)
+
 // Takeover is what another process hands over to this one.
 type Takeover struct {
 	Snapshot  *handover.Snapshot
@@ -169,7 +178,10 @@
 					After: s.After, Accepted: micro(s.Accepted), Deadline: micro(s.Deadline), Over: micro(s.Over)})
 			}()
 		}
-	}, func(error) { c.post(predecessorGoneEvent{}) })
+	}, func(error) {
+		time.Sleep(remoteGrace) // until then its calls may still be out
+		c.post(predecessorGoneEvent{})
+	})
 	link.Close()
 }
 
--- a/internal/core/relay_test.go
+++ b/internal/core/relay_test.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cometrack/internal/handover"
@@ -23,10 +25,29 @@
 func (s *successorByHand) Give(*handover.Snapshot, []net.Listener) (bool, error) {
 	return true, nil
 }
-func (s *successorByHand) Listen(tell func(any), _ func(error)) {
+func (s *successorByHand) Listen(tell func(any), gone func(error)) {
 	for m := range s.tell {
 		tell(m)
 	}
+	gone(io.EOF)
+}
+
+// Calls that the process before had out were sent again while they were out, as the link to it broke and it lived on:
+// they are taken for ended only once it has had the time to call them off.
+func TestCallsOutOutliveTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &successorByHand{make(chan any, 4), make(chan any)}
+		close(s.tell)
+		c := &Core{events: make(chan any, 4), done: make(chan struct{}), log: slog.New(slog.DiscardHandler)}
+		from := time.Now()
+		c.hear(s)
+		if _, ok := (<-c.events).(predecessorGoneEvent); !ok {
+			t.Fatal("another event")
+		}
+		if took := time.Since(from); took < DyingTime+permit.MaxStall {
+			t.Errorf("taken for ended after %v", took)
+		}
+	})
 }
 
 // A request was answered as failed and forwarded all the same: the process that had handed over ended while its
