--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -65,6 +65,7 @@
 		case <-gone:
 			r.core.log.Error("the process that took over is gone")
 			gone, r.gone = nil, true
+			r.callOff() // it takes them for ended
 			r.lose()
 		case <-served:
 			r.left, served = true, nil
@@ -119,9 +120,14 @@
 	case closingEvent: // what is out by then is called off, so that its end is known
 		time.AfterFunc(x.left, func() { r.core.post(callOffEvent{}) })
 	case callOffEvent:
-		for _, h := range r.out {
-			h.stop()
-		}
+		r.callOff()
+	}
+}
+
+// callOff calls off what is out.
+func (r *relay) callOff() {
+	for _, h := range r.out {
+		h.stop()
 	}
 }
 
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -23,6 +23,7 @@
 	takenTime   = 2 * time.Second        // for a successor to say that it has taken a snapshot
 	fencePause  = 20 * time.Millisecond  // between two looks at the lock of one that was ended
 	fenceTime   = 5 * time.Second        // for the lock to come free
+	dyingTime   = core.DyingTime         // for that of a process whose socket has broken
 	acceptRetry = 200 * time.Millisecond // after a failed accept
 )
 
@@ -163,6 +164,7 @@
 		s.Gone = true
 	}
 	by := time.Now().Add(takenTime)
+	var brokenAt time.Time // when the lock was first found taken after the socket had broken
 	for {
 		switch v := handover.Decide(s); v {
 		case handover.Relay:
@@ -188,9 +190,18 @@
 			}
 		case handover.TryLock:
 			s.Lock = h.tryLock()
-			if s.Lock == handover.Another {
-				time.Sleep(fencePause)
+			if s.Lock != handover.Another {
+				continue
 			}
+			if brokenAt.IsZero() {
+				brokenAt = time.Now()
+			}
+			if s.Kept = s.Gone && time.Since(brokenAt) > dyingTime; s.Kept {
+				h.log.Error("the process that asked has the journal, and its socket has broken; it decides", "err", err)
+				h.Close()
+				continue
+			}
+			time.Sleep(fencePause)
 		case handover.Fence:
 			pid := h.Peer()
 			h.log.Error("the process that asked has the journal and says nothing; it is ended", "pid", pid)
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -19,6 +19,9 @@
 // stallIn names the folder in which a copy of the test program takes over a journal's lock and says nothing more.
 const stallIn = "COMETRACK_TEST_STALL"
 
+// hangUp says that the copy breaks the connection first.
+const hangUp = "COMETRACK_TEST_HANG_UP"
+
 // stall is a successor that hangs in the worst place: it has the lock and has not said so.
 func stall(dir string) {
 	c, err := handover.Dial(dir, time.Second)
@@ -35,10 +38,32 @@
 		fmt.Fprintln(os.Stderr, "stall:", err)
 		os.Exit(1)
 	}
+	if os.Getenv(hangUp) != "" {
+		c.Close()
+	}
 	fmt.Fprintln(os.Stderr, "msg=ready")
 	select {}
 }
 
+// The socket of a handover broke while both processes lived, and the old one waited seconds for the journal with
+// requests read and calls out, which the new one took for ended: it stops deciding, calls off what it has out, turns
+// away what comes, and ends when it is told to.
+func TestUpgradeWhoseSocketBreaks(t *testing.T) {
+	x := newPair(t)
+	c := dial(t, x.old.addr)
+	c.put("u", "unsafe", "+OK")
+	in := x.call("u")
+	t.Setenv(hangUp, "yes")
+	runSelf(t, stallIn+"="+x.dir)
+	x.old.says("it decides")
+	in.AwaitEnd(t)
+	if got := c.do("MSG.PUT", "0000", "late", "c=safe,t=acme,d=9000,dest=1", "x"); got != "-BUSY" {
+		t.Errorf("a request that comes then gets %q", got)
+	}
+	x.old.term()
+	x.old.end()
+}
+
 // pair is a sender that is going to be upgraded.
 type pair struct {
 	t     *testing.T
--- a/internal/handover/arbiter.go
+++ b/internal/handover/arbiter.go
@@ -9,6 +9,7 @@
 	Gone  bool // the successor's socket has broken, or it has refused
 	Late  bool // it has said nothing for too long
 	Lock  Lock // what an attempt to take the journal's lock has shown
+	Kept  bool // another process has had the lock for longer than one that dies keeps it
 }
 
 // Lock is who has the lock of the journal.
@@ -51,6 +52,8 @@
 		return TryLock
 	case s.Late:
 		return Fence
+	case s.Kept: // it lives, and only the socket has broken
+		return Relay
 	default: // gone, and another has the lock: it dies just now, or a third process took it
 		return TryLock
 	}
