Have a process that can't say that it has taken over write nothing, and ask again

"Before taken the new process has written nothing" is what its coming back rests on.

Evidence: TestUpgradeWhoseWordIsLost, with a real process, hangs before (it never asks again), passes after; all tests of upgrades passed (28 s).

--- a/cmd/cometrack/commands.go
+++ b/cmd/cometrack/commands.go
@@ -102,15 +102,18 @@
 			}
 			defer console.Close()
 			daemon.Version = version
-			d, err := daemon.NewStandalone(ctx, f, life, log)
+			err = daemon.UntilTaken(log, func() error {
+				d, err := daemon.NewStandalone(ctx, f, life, log)
+				if err != nil {
+					return err
+				}
+				console.Know(d.Cluster())
+				console.Report(d.Metrics())
+				return d.Run(ctx, hup, func() (*config.File, error) { return config.Load(path) })
+			})
 			if err != nil {
 				return &exit{exitError, err}
 			}
-			console.Know(d.Cluster())
-			console.Report(d.Metrics())
-			if err := d.Run(ctx, hup, func() (*config.File, error) { return config.Load(path) }); err != nil {
-				return &exit{exitError, err}
-			}
 			return nil
 		},
 	}
--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -87,12 +87,14 @@
 		return err
 	}
 	defer console.Close()
-	n, err := daemon.NewPlatform(ctx, cfg, life, log)
-	if err != nil {
-		return err
-	}
-	console.Report(n.Metrics())
-	return n.Run(ctx, hup, config.LoadPlatform)
+	return daemon.UntilTaken(log, func() error {
+		n, err := daemon.NewPlatform(ctx, cfg, life, log)
+		if err != nil {
+			return err
+		}
+		console.Report(n.Metrics())
+		return n.Run(ctx, hup, config.LoadPlatform)
+	})
 }
 
 // limit keeps the process to so many processors and megabytes; 0 for no limit.
--- a/internal/core/inherit.go
+++ b/internal/core/inherit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"time"
@@ -144,15 +146,21 @@
 	return events
 }
 
-// takenOver says to the other process that this one decides.
+// ErrNotTaken says that the process that hands over can't be told that this one decides.
+// Nothing has been written; a core that is made anew may ask again.
+var ErrNotTaken = errors.New("the process that hands over can't be told that this one takes over")
+
+// takenOver says to the other process that this one decides. One that has not heard so
+// takes the journal back, and knows nothing of what this one would write to it.
 func (c *Core) takenOver() error {
 	if c.from == nil {
 		return nil
 	}
 	c.log.Info("taken over", "held", len(c.held), "calls_out", len(c.remote), "endpoints", len(c.dir.eps))
 	if err := c.from.Link.Send(&handover.Taken{}); err != nil {
-		// The journal is ours, so this process decides; the calls that are out are in doubt, and hear says so.
-		c.log.Error("the process that handed over is gone", "err", err)
+		c.from.Link.Close()
+		c.from.close()
+		return fmt.Errorf("%w: %w", ErrNotTaken, err)
 	}
 	return nil
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// UntilTaken runs a daemon, made anew each time that a handover to it has broken off
+// before the process before it had heard that it decides.
+func UntilTaken(log *slog.Logger, run func() error) error {
+	for {
+		err := run()
+		if !errors.Is(err, core.ErrNotTaken) {
+			return err
+		}
+		log.Error("the handover is asked for again", "err", err)
+	}
+}
+
 var (
 	errNobody = errors.New("nobody hands over")
 	errNotNow = errors.New("nothing is handed over now")
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -53,17 +53,54 @@
 	c := dial(t, x.old.addr)
 	c.put("u", "unsafe", "+OK")
 	in := x.call("u")
+	const late = "*5\r\n$7\r\nMSG.PUT\r\n$4\r\n0000\r\n$4\r\nlate\r\n$27\r\nc=safe,t=acme,d=9000,dest=1\r\n$1\r\nx\r\n"
+	io.WriteString(c.Conn, late[:len(late)/2]) // keeps the connection open
 	t.Setenv(hangUp, "yes")
 	runSelf(t, stallIn+"="+x.dir)
 	x.old.says("it decides")
 	in.AwaitEnd(t)
-	if got := c.do("MSG.PUT", "0000", "late", "c=safe,t=acme,d=9000,dest=1", "x"); got != "-BUSY" {
+	io.WriteString(c.Conn, late[len(late)/2:])
+	if got := c.line(); got != "-BUSY" {
 		t.Errorf("a request that comes then gets %q", got)
 	}
 	x.old.term()
 	x.old.end()
 }
 
+// A process whose word that it had taken over was lost served all the same, beside the one before it, which took the
+// journal back: what it had taken on had no end. It writes nothing, and asks again.
+func TestUpgradeWhoseWordIsLost(t *testing.T) {
+	p, e, dir := discovery.New(t), byhand.NewEndpoint(t), t.TempDir()
+	known := platform.List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.List = known
+	before, err := handover.Listen(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := launchProcess(t, p, dir, known, "127.0.0.1:0")
+	for range 2 {
+		c, err := before.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := c.Receive(); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Send(&handover.Snapshot{Format: handover.Format}); err != nil {
+			t.Fatal(err)
+		}
+		c.Close() // nobody hears what it says then
+	}
+	before.Close() // and now it can start from the journal
+	if err := x.ready(); err != nil {
+		t.Fatal(err)
+	}
+	dial(t, x.addr).put("m", "safe", "+OK")
+	byhand.Await(t, e.Calls, "call").Reply(200)
+	x.term()
+	x.end()
+}
+
 // pair is a sender that is going to be upgraded.
 type pair struct {
 	t     *testing.T
