--- a/internal/soak/crossings.go
+++ b/internal/soak/crossings.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -191,6 +192,9 @@
 		}
 	}
 	if next != nil {
+		if events[faultbuild.Kill] {
+			s.noteDeath(s.process(), next)
+		}
 		if err := s.serveAfterUpgrade(from, next); err != nil {
 			s.records.fault("sender %d: %v after %v", s.number, err, x)
 		}
@@ -236,8 +240,7 @@
 	}
 	switch {
 	case killed:
-		s.ended(program.Patience)
-		s.records.killed(s.number, time.Now())
+		s.noteDeath(s.process())
 	case !s.ended(time.Until(last.Add(killAfter))):
 		s.records.fault("sender %d: did not end within %v of SIGTERM", s.number, killAfter)
 	}
@@ -250,6 +253,17 @@
 	return s.process().Ready()
 }
 
+// noteDeath notes that one of the sender's processes has been killed just now, and when
+// it is gone.
+func (s *sender) noteDeath(of ...*process) {
+	s.records.killed(s.number, time.Now())
+	gone := func(p *process) bool { return !p.running() }
+	for by := time.Now().Add(program.Patience); time.Now().Before(by) && !slices.ContainsFunc(of, gone); {
+		time.Sleep(pollEvery)
+	}
+	s.records.killed(s.number, time.Now())
+}
+
 // startBeside starts a second process of the sender, with an event armed.
 func (s *sender) startBeside(x crossing) (*process, error) {
 	s.controls.Arm(x.point, x.event, 0)
@@ -257,8 +271,9 @@
 }
 
 const (
-	takeOverTime = 6 * time.Second // for a process that is started beside another to serve
-	goOnTime     = 3 * time.Second // for the one before it to say that it serves on
+	takeOverTime = 6 * time.Second        // for a process that is started beside another to serve
+	drainTime    = 100 * time.Millisecond // for a process that has handed over to leave its listener
+	goOnTime     = 3 * time.Second        // for the one before it to say that it serves on
 )
 
 // serveAfterUpgrade sees to it that one process serves after a second one was started,
@@ -267,13 +282,6 @@
 func (s *sender) serveAfterUpgrade(from time.Time, next *process) error {
 	before := s.process()
 	defer func() { s.records.outage(s.number, from, time.Now()) }()
-	note := func(p *process) {
-		if !p.running() {
-			s.records.killed(s.number, time.Now())
-		}
-	}
-	note(before)
-	note(next)
 	if s.readyWithin(next, takeOverTime) {
 		if before.running() {
 			before.Signal(syscall.SIGTERM)
@@ -288,11 +296,11 @@
 		}
 		return s.startAnew(next)
 	}
-	note(next)
 	if next.running() {
 		s.records.fault("sender %d: a process beside another is not ready after %v", s.number, takeOverTime)
 	}
 	next.kill()
+	time.Sleep(drainTime)
 	if before.running() && s.pong(goOnTime) {
 		return nil
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -185,10 +185,14 @@
 // is gone.
 func (s *sender) kill() {
 	p := s.process()
-	if p.running() {
+	killed := p.running()
+	if killed {
 		s.records.killed(s.number, time.Now())
 	}
 	p.kill()
+	if killed { // it may have taken its time to die
+		s.records.killed(s.number, time.Now())
+	}
 }
 
 // restart takes the process through a planned or unplanned restart: with SIGTERM and, at
