Tell a successor that dies slowly from one that lives, when the link is broken

What callers could see: an upgrade whose new process was killed and took over 0.15 s to close its files left nobody to decide until the next start.

Found by reading.

Change: a process with no memory left, or that is gone, is ending; its lock is waited for as before, up to 5 s.

Evidence: TestDyingProcessIsNotTakenForALivingOne; tests of upgrades that fail passed. The other path stays held by TestUpgradeWhoseSocketBreaks.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"log/slog"
 	"net"
 	"os"
+	"strings"
 	"syscall"
 	"time"
 
@@ -176,6 +178,7 @@
 		s.Gone = true
 	}
 	by := time.Now().Add(takenTime)
+	peer := h.Peer()
 	var brokenAt time.Time // when the lock was first found taken after the socket had broken
 	for {
 		switch v := handover.Decide(s); v {
@@ -208,7 +211,7 @@
 			if brokenAt.IsZero() {
 				brokenAt = time.Now()
 			}
-			if s.Kept = s.Gone && time.Since(brokenAt) > dyingTime; s.Kept {
+			if s.Kept = s.Gone && time.Since(brokenAt) > dyingTime && !isEnding(peer); s.Kept {
 				h.log.Error("the process that asked has the journal, and its socket has broken; it decides", "err", err)
 				h.Close()
 				continue
@@ -228,6 +231,16 @@
 	}
 }
 
+// isEnding says whether a process has ended or is about to: it has no memory left, but may
+// take its time to close its files, as on a slow disk.
+func isEnding(pid int) bool {
+	if pid <= 0 { // not known
+		return false
+	}
+	sizes, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	return errors.Is(err, fs.ErrNotExist) || err == nil && strings.HasPrefix(string(sizes), "0 ")
+}
+
 // tryLock looks whether the journal's lock is free. A third process that takes it
 // right after is found by whoever opens the journal then.
 func (h *successor) tryLock() handover.Lock {
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -67,6 +68,25 @@
 	x.old.end()
 }
 
+// A successor that dies and takes its time to give the journal's lock back was taken for one that lives, and nobody
+// decided any more: a process that has ended, or is about to, is told from one that runs.
+func TestDyingProcessIsNotTakenForALivingOne(t *testing.T) {
+	if isEnding(os.Getpid()) {
+		t.Error("this process is taken for one that ends")
+	}
+	child := exec.Command("true")
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	byhand.Until(t, "end of a process that nobody waits for", func() bool { return isEnding(child.Process.Pid) })
+	if err := child.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if !isEnding(child.Process.Pid) {
+		t.Error("a process that is gone is taken for one that runs")
+	}
+}
+
 // A process whose word that it had taken over was lost served all the same, beside the one before it, which took the
 // journal back: what it had taken on had no end. It writes nothing, and asks again.
 func TestUpgradeWhoseWordIsLost(t *testing.T) {
