Have the test of the last moments wait for events, and prove that there were requests

Need: it slept where a timer or an event will do, and would have passed had every client been ended early. Change: traffic is waited for, holds and the kill are timers from SIGTERM; half of the processes at least must have read to their last moments.

No code of the program changes.

--- a/cmd/measure/crossings.go
+++ b/cmd/measure/crossings.go
@@ -36,23 +36,12 @@
 	}
 	failed, all := 0, soak.NewCrossings()
 	for i := range *seeds {
-		o := soak.Options{Seed: *seed + uint64(i), Senders: *senders, Length: *length, Binary: path, Crossings: true,
-			Faults: strings.Split(*faults, ","), Dir: filepath.Join(top, fmt.Sprint("seed-", *seed+uint64(i)))}
-		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
-			return err
-		}
-		r, err := soak.Run(o)
+		r, err := playSeed(top, soak.Options{Seed: *seed + uint64(i), Senders: *senders, Length: *length, Binary: path, Crossings: true,
+			Faults: strings.Split(*faults, ",")}, func(r *soak.Result) []string { return r.Crossings.Log() }, *verbose)
 		if err != nil {
-			return fmt.Errorf("seed %d: %w", o.Seed, err)
+			return err
 		}
-		fmt.Println(r.Line(o.Seed))
 		all.Add(r.Crossings)
-		if *verbose || len(r.Violations) > 0 {
-			fmt.Println("  " + strings.Join(r.Crossings.Log(), "\n  "))
-		}
-		for _, v := range r.Violations {
-			fmt.Println("  violation:", v)
-		}
 		if len(r.Violations) > 0 {
 			failed++
 		}
--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -41,23 +41,13 @@
 	}
 	failed := 0
 	for i := range *seeds {
-		o := soak.Options{Seed: *seed + uint64(i), Senders: *senders, Length: *length, Binary: path, Dir: filepath.Join(top, fmt.Sprint("seed-", *seed+uint64(i)))}
+		o := soak.Options{Seed: *seed + uint64(i), Senders: *senders, Length: *length, Binary: path}
 		if *faults != "" {
 			o.Faults = strings.Split(*faults, ",")
 		}
-		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
-			return err
-		}
-		r, err := soak.Run(o)
+		r, err := playSeed(top, o, func(r *soak.Result) []string { return r.Script }, *verbose)
 		if err != nil {
-			return fmt.Errorf("seed %d: %w", o.Seed, err)
-		}
-		fmt.Println(r.Line(o.Seed))
-		if *verbose || len(r.Violations) > 0 {
-			fmt.Println("  " + strings.Join(r.Script, "\n  "))
-		}
-		for _, v := range r.Violations {
-			fmt.Println("  violation:", v)
+			return err
 		}
 		if len(r.Violations) > 0 {
 			failed++
@@ -69,6 +59,27 @@
 	return nil
 }
 
+// playSeed plays a run in a folder of its own below top and prints what came of it; with
+// verbose, or if an invariant is broken, what happened in it as well.
+func playSeed(top string, o soak.Options, happened func(*soak.Result) []string, verbose bool) (*soak.Result, error) {
+	o.Dir = filepath.Join(top, fmt.Sprint("seed-", o.Seed))
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	r, err := soak.Run(o)
+	if err != nil {
+		return nil, fmt.Errorf("seed %d: %w", o.Seed, err)
+	}
+	fmt.Println(r.Line(o.Seed))
+	if verbose || len(r.Violations) > 0 {
+		fmt.Println("  " + strings.Join(happened(&r), "\n  "))
+	}
+	for _, v := range r.Violations {
+		fmt.Println("  violation:", v)
+	}
+	return &r, nil
+}
+
 func workDir(dir string) (string, error) {
 	if dir == "" {
 		return os.MkdirTemp("", "soak")
--- a/internal/daemon/busyend_held_test.go
+++ b/internal/daemon/busyend_held_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,7 +25,8 @@
 	net.Conn
 	ends     []int64 // of each request that was written whole, in bytes from the start of the connection
 	answers  []string
-	sessions sync.WaitGroup
+	answered chan struct{} // closed with the first answer
+	sides    sync.WaitGroup
 }
 
 func startNeverResting(t *testing.T, addr, name string, pace time.Duration) *neverResting {
@@ -31,9 +34,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &neverResting{Conn: conn}
+	c := &neverResting{Conn: conn, answered: make(chan struct{})}
 	over := make(chan struct{})
-	c.sessions.Go(func() {
+	c.sides.Go(func() {
 		rest, written := "", int64(0)
 		for n := 0; ; n++ {
 			next := "*5\r\n$7\r\nMSG.PUT\r\n$4\r\n0000\r\n"
@@ -56,7 +59,7 @@
 			}
 		}
 	})
-	c.sessions.Go(func() {
+	c.sides.Go(func() {
 		defer conn.Close()
 		defer close(over)
 		for r := bufio.NewReader(conn); ; {
@@ -64,7 +67,9 @@
 			if err != nil {
 				return
 			}
-			c.answers = append(c.answers, line)
+			if c.answers = append(c.answers, line); len(c.answers) == 1 {
+				close(c.answered)
+			}
 		}
 	})
 	return c
@@ -85,6 +90,14 @@
 	return n
 }
 
+// readAfter says whether something was read from a connection after a moment.
+func readAfter(traced []*faultbuild.Connection, moment time.Time) bool {
+	return slices.ContainsFunc(traced, func(c *faultbuild.Connection) bool {
+		n := len(c.Reads)
+		return n > 0 && c.Reads[n-1].At.After(moment)
+	})
+}
+
 // A request that was read as the process ends got no answer: a sender that is told to end answers each one that it has
 // read before its connection ends, also if it is held up in its last moments.
 func TestRequestReadIsAnsweredBeforeTheEnd(t *testing.T) {
@@ -92,13 +105,12 @@
 		processes = 16
 		clients   = 8
 		pace      = 5 * time.Millisecond
-		before    = 100 * time.Millisecond  // of traffic, until SIGTERM
 		early     = 3300 * time.Millisecond // from SIGTERM on, until half of the processes are held up over the end, at 3.4 s
 		last      = 3380 * time.Millisecond // until the others are held up, one after the other
 		apart     = 5 * time.Millisecond
 		kill      = 3700 * time.Millisecond // SIGTERM to SIGKILL
 		holdFor   = 135 * time.Millisecond  // with what the harness adds, up to 0.15 s
-		hold      = 0.004                   // for each reading of the clock, until the first
+		holds     = 0.004                   // for each reading of the clock, until the first
 	)
 	path, err := builtWithFaults()
 	if err != nil {
@@ -106,6 +118,7 @@
 	}
 	to := startPartner(t, partner.Options{Name: "1"})
 	var all sync.WaitGroup
+	var busy atomic.Int32 // processes that read to their last moments
 	for i := range processes {
 		p := discovery.New(t)
 		p.List = platform.List{Generation: 1, Reset: true, Instances: []platform.Instance{{ID: "s-0", HostPort: to.Addr(), Zone: "a", Kind: "std",
@@ -123,7 +136,9 @@
 		}
 		var list []*neverResting
 		for k := range clients {
-			list = append(list, startNeverResting(t, x.addr, fmt.Sprintf("m-%d-%d", i, k), pace))
+			c := startNeverResting(t, x.addr, fmt.Sprintf("m-%d-%d", i, k), pace)
+			closed(t, c.answered, "answer")
+			list = append(list, c)
 		}
 		all.Go(func() {
 			stop, resumed := make(chan struct{}), make(chan []time.Duration, 1)
@@ -133,17 +148,16 @@
 					return holdFor
 				}, stop)
 			}()
-			time.Sleep(before)
+			held := early
+			if i >= processes/2 {
+				held = last + time.Duration(i-processes/2)*apart
+			}
 			from := time.Now()
 			x.term()
-			if i < processes/2 {
-				time.Sleep(early)
-			} else {
-				time.Sleep(last + time.Duration(i-processes/2)*apart)
-			}
-			controls.SetHolds(hold)
-			late := time.AfterFunc(time.Until(from.Add(kill))+2*to.Stall(), func() { x.Signal(syscall.SIGKILL) })
+			hold := time.AfterFunc(held, func() { controls.SetHolds(holds) })
+			late := time.AfterFunc(kill+2*to.Stall(), func() { x.Signal(syscall.SIGKILL) })
 			x.Wait()
+			hold.Stop()
 			late.Stop()
 			took := time.Since(from)
 			close(stop)
@@ -153,7 +167,7 @@
 			}
 			answers, lost := 0, 0
 			for _, c := range list {
-				c.sessions.Wait()
+				c.sides.Wait()
 				for _, line := range c.answers {
 					if !strings.HasPrefix(line, "+OK") && !strings.HasPrefix(line, "-BUSY") {
 						t.Errorf("answer %q", line)
@@ -162,11 +176,17 @@
 				answers += len(c.answers)
 				lost += c.unanswered(traced)
 			}
-			if lost > 0 || answers == 0 {
+			if lost > 0 {
 				t.Errorf("process %d: %d requests that were read have no answer", i, lost)
 			}
+			if readAfter(traced, from.Add(early)) {
+				busy.Add(1)
+			}
 			t.Logf("process %d: %d answers; held up for %v; ended after %v", i, answers, <-resumed, took)
 		})
 	}
 	all.Wait()
+	if n := busy.Load(); n < processes/2 {
+		t.Errorf("%d of %d processes read to their last moments: that proves nothing", n, processes)
+	}
 }
--- a/internal/soak/crossings.go
+++ b/internal/soak/crossings.go
@@ -244,6 +244,12 @@
 	case !s.ended(time.Until(last.Add(killAfter))):
 		s.records.fault("sender %d: did not end within %v of SIGTERM", s.number, killAfter)
 	}
+	return s.relaunch()
+}
+
+// relaunch ends the sender's process, if it has not ended, starts another and waits until
+// it is ready.
+func (s *sender) relaunch() error {
 	s.kill()
 	s.records.restarts(s.number)
 	time.Sleep(startAfter)
@@ -311,13 +317,7 @@
 func (s *sender) startAnew(last *process) error {
 	last.Signal(syscall.SIGTERM)
 	last.endsWithin(killAfter)
-	s.kill()
-	s.records.restarts(s.number)
-	time.Sleep(startAfter)
-	if err := s.launch(); err != nil {
-		return err
-	}
-	return s.process().Ready()
+	return s.relaunch()
 }
 
 // readyWithin says whether a process is ready within a time, and has not ended.
