--- a/review/rig/lakes.go
+++ b/review/rig/lakes.go
@@ -15,6 +15,7 @@
 	lakesSenders  = 2
 	lakesPartners = 8
 	lakesRate     = 22 // messages a second, of all clients
+	lakesSeed     = 61 // of the traffic and of the work of each call
 )
 
 // lakesClasses returns the classes; the payment has the given effect.
@@ -46,6 +47,7 @@
 	firstPartner int // the usual traffic goes to this partner and those after it
 
 	mu     sync.Mutex
+	rng    *rand.Rand
 	sent   []*message
 	faults map[string]int  // by id of the message: how many of its calls are still to be answered with 500
 	hung   map[string]bool // by name of the endpoint: it answers no call
@@ -53,7 +55,8 @@
 
 // startLakes starts the deployment and waits until its senders are ready.
 func startLakes(r *rig) (*lakes, error) {
-	l := &lakes{rig: r, faults: map[string]int{}}
+	l := &lakes{rig: r, faults: map[string]int{}, rng: rand.New(rand.NewPCG(lakesSeed, 1))}
+	r.note("rig", "seed %d", lakesSeed)
 	known := list{Generation: 41, Reset: true}
 	for i := range 2 * lakesPartners {
 		e, err := r.newEndpoint(fmt.Sprintf("e-%02d", i), l.decide)
@@ -103,35 +106,36 @@
 		l.faults[id]--
 		return verdict{30 * time.Millisecond, 500}
 	}
-	return verdict{time.Duration(150+rand.IntN(200)) * time.Millisecond, 200}
+	return verdict{time.Duration(150+l.rng.IntN(200)) * time.Millisecond, 200}
 }
 
 // newMessage returns a message of a class with a new id.
 func (l *lakes) newMessage(class, dest string) *message {
-	id := fmt.Sprintf("%016x", rand.Uint64())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := fmt.Sprintf("%016x", l.rng.Uint64())
 	m := &message{id: id, class: class, tenant: "lakeshore-gas", dest: dest, body: "body of " + id, left: 16 * time.Second}
 	if class == "nomination" {
-		m.key, m.left = fmt.Sprintf("%016x", rand.Uint64()), 24*time.Second
+		m.key, m.left = fmt.Sprintf("%016x", l.rng.Uint64()), 24*time.Second
 	}
-	l.mu.Lock()
 	l.sent = append(l.sent, m)
-	l.mu.Unlock()
 	return m
 }
 
 // traffic hands in messages at the usual rate until a time of the run.
 func (l *lakes) traffic(until time.Duration) {
+	rng := rand.New(rand.NewPCG(lakesSeed, 2))
 	var clients sync.WaitGroup
 	defer clients.Wait()
 	for n := 0; time.Since(l.began) < until; n++ {
 		name := "nomination"
-		switch x := rand.IntN(100); {
+		switch x := rng.IntN(100); {
 		case x < 31:
 			name = "imbalance-payment"
 		case x < 59:
 			name = "scheduled-quantity"
 		}
-		m, s := l.newMessage(name, strconv.Itoa(l.firstPartner+rand.IntN(lakesPartners-l.firstPartner))), l.senders[n%lakesSenders]
+		m, s := l.newMessage(name, strconv.Itoa(l.firstPartner+rng.IntN(lakesPartners-l.firstPartner))), l.senders[n%lakesSenders]
 		clients.Go(func() { l.put(s.listen, m) })
 		time.Sleep(time.Second / lakesRate)
 	}
--- a/review/rig/reload.go
+++ b/review/rig/reload.go
@@ -79,7 +79,8 @@
 	}
 	for _, m := range marked {
 		if !m.accepted || m.sentAt.After(before) || len(calls[m.id]) == 0 {
-			return fmt.Errorf("payment %s was not taken on, or was too late, or not sent", m.id)
+			return fmt.Errorf("payment %s, handed in at %.3f, was answered %q and sent %d times", m.id,
+				m.sentAt.Sub(l.began).Seconds(), m.answer, len(calls[m.id]))
 		}
 	}
 	for _, m := range l.sent {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -64,9 +64,11 @@
 // at waits until a time since the begin of the run.
 func (r *rig) at(t time.Duration) { time.Sleep(time.Until(r.began.Add(t))) }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a free loopback address for a process. Its IP address is that of this program alone, so that no
+// other one takes the port before the process does.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 20+pid>>16&63, pid>>8&255, max(pid&255, 1)))
 	if err != nil {
 		return "", err
 	}
--- a/review/rig/upgrade.go
+++ b/review/rig/upgrade.go
@@ -31,14 +31,16 @@
 		}
 		s.signal(l.processes[i], syscall.SIGHUP)
 	}
-	var upgrades sync.WaitGroup
+	var upgrades, ready sync.WaitGroup
 	errs := make(chan error, len(l.senders))
 	if r.trouble {
 		time.Sleep(250 * time.Millisecond)
 		for i, s := range l.senders {
-			upgrades.Go(func() { errs <- s.upgrade(l.processes[i]) })
+			ready.Add(1)
+			upgrades.Go(func() { errs <- s.upgrade(l.processes[i], ready.Done) })
 		}
 	}
+	ready.Wait()
 	time.Sleep(time.Until(first.Add(650 * time.Millisecond)))
 	var marked []*message
 	for i := range 4 {
@@ -63,14 +65,17 @@
 }
 
 // upgrade starts a second process of a sender, and ends the old one as the platform does once the new one says that
-// it is ready.
-func (s *sender) upgrade(old *process) error {
+// it is ready. It calls ready then, or when it fails.
+func (s *sender) upgrade(old *process, ready func()) error {
+	done := sync.OnceFunc(ready)
+	defer done()
 	p, err := s.start()
 	if err != nil {
 		return err
 	}
+	operator := http.Client{Timeout: time.Second}
 	for stop := time.Now().Add(6 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		if resp, err := http.Get("http://" + p.console + "/_ready"); err == nil {
+		if resp, err := operator.Get("http://" + p.console + "/_ready"); err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
 				break
@@ -81,6 +86,7 @@
 		}
 	}
 	s.r.note("platform", "%s: process %d is ready", s.name, p.cmd.Process.Pid)
+	done()
 	s.signal(old, syscall.SIGTERM)
 	select {
 	case <-old.ended:
