--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -53,24 +56,59 @@
 	id, class, tenant, key, dest, body string
 	left                               time.Duration
 
-	sentAt   time.Time // when its last byte was written
+	sentAt   time.Time // when it was sent, by the client's clock
 	answer   string    // empty for none
 	accepted bool
 }
 
-// put hands a message in on a new connection, and notes the answer.
-func (r *rig) put(addr string, m *message) {
-	c, err := dialClient(r, addr)
+// clients are the connections of the clients of one sender. They are kept, and more are opened when all are busy.
+type clients struct {
+	r    *rig
+	addr string
+
+	mu   sync.Mutex
+	idle []*client
+}
+
+// take returns a connection that is not busy, the one used last, or a new one.
+func (l *clients) take() (c *client, kept bool, err error) {
+	l.mu.Lock()
+	if n := len(l.idle); n > 0 {
+		c, l.idle = l.idle[n-1], l.idle[:n-1]
+	}
+	l.mu.Unlock()
+	if c != nil {
+		return c, true, nil
+	}
+	c, err = dialClient(l.r, l.addr)
+	return c, false, err
+}
+
+// put hands a message in. If the sender closes a kept connection as the request comes, it is sent once more, on a new one.
+func (l *clients) put(m *message) {
+	c, kept, err := l.take()
+	if err == nil {
+		if err = c.put(m); err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.close()
+			if c, err = dialClient(l.r, l.addr); err == nil {
+				err = c.put(m)
+			}
+		}
+	}
 	if err != nil {
-		r.note("client", "%s: %v", m.id, err)
+		l.r.note("client", "%s: %v", m.id, err)
+		if c != nil {
+			c.close()
+		}
 		return
 	}
-	defer c.close()
-	c.put(m)
+	l.mu.Lock()
+	l.idle = append(l.idle, c)
+	l.mu.Unlock()
 }
 
-// put hands a message in and notes the answer. It reports whether the connection is still good.
-func (c *client) put(m *message) bool {
+// put hands a message in and notes the answer.
+func (c *client) put(m *message) error {
 	list := fmt.Sprintf("c=%s,t=%s,d=%d,dest=%s", m.class, m.tenant, m.left.Milliseconds(), m.dest)
 	if m.key != "" {
 		list = fmt.Sprintf("c=%s,t=%s,d=%d,k=%s,dest=%s", m.class, m.tenant, m.left.Milliseconds(), m.key, m.dest)
@@ -80,8 +118,8 @@
 	m.answer, m.accepted = answer, err == nil && strings.HasPrefix(answer, "+")
 	if err != nil {
 		c.r.note("client", "%s %s for %s: no answer: %v", m.id, m.class, m.dest, err)
-		return false
+		return err
 	}
 	c.r.note("client", "%s %s for %s, %v left: %s", m.id, m.class, m.dest, m.left, answer)
-	return true
+	return nil
 }
--- a/review/rig/endpoint.go
+++ b/review/rig/endpoint.go
@@ -15,9 +15,13 @@
 	endpoint string
 	id       string // of the message
 	at       time.Time
-	status   int // of the answer; 0 for none
+	status   int  // of the answer; 0 for none
+	answered bool // the answer has been written
 }
 
+// idleTimeout is how long an endpoint keeps a connection on which nothing comes, as in the settings.
+const idleTimeout = 10 * time.Second
+
 // verdict is what an endpoint does with a call.
 type verdict struct {
 	after  time.Duration // how long it works on it
@@ -60,6 +64,7 @@
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
+		conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -75,10 +80,11 @@
 		e.mu.Lock()
 		v := e.decide(e.name, id)
 		n := len(e.calls)
-		e.calls = append(e.calls, call{e.name, id, time.Now(), v.status})
+		e.calls = append(e.calls, call{e.name, id, time.Now(), v.status, false})
 		e.mu.Unlock()
 		if v.status == 0 {
 			e.r.note(e.name, "call with %s, not answered", id)
+			conn.SetReadDeadline(time.Time{})
 			io.Copy(io.Discard, conn) // until the sender gives it up
 			e.r.note(e.name, "call with %s was given up", id)
 			return
@@ -88,6 +94,9 @@
 		if _, err := fmt.Fprintf(conn, "HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n", v.status); err != nil {
 			return
 		}
+		e.mu.Lock()
+		e.calls[n].answered = true
+		e.mu.Unlock()
 	}
 }
 
--- a/review/rig/lakes.go
+++ b/review/rig/lakes.go
@@ -30,7 +30,7 @@
 // lakesDeployment returns the configuration of a sender, with the classes as they are at first.
 func lakesDeployment(me int, discovery string, known list) deployment {
 	return deployment{senders: lakesSenders, me: me, mode: "on_request", classes: lakesClasses("fragile"),
-		tenants: []tenant{{"lakeshore-gas", 10, 0.58}, {"bay-county-util", 5, 0.26}, {"north-shore-coop", 3, 0.16}},
+		tenants: []tenant{{"lakeshore-gas", 15, 0.58}, {"bay-county-util", 7, 0.26}, {"north-shore-coop", 5, 0.16}},
 		kinds:   []string{"interstate-pipeline", "local-shipper"}, separate: []bool{true, false}, batch: []int{1, 1},
 		slots: 6, open: 69, attempts: 6, drainGrace: 2, connIdle: 10, discovery: discovery, known: known, maxRetryAfter: 2}
 }
@@ -41,6 +41,7 @@
 	platform  *platform
 	proxies   []*proxy // of the senders, to the platform
 	senders   []*sender
+	clients   []*clients // of the senders
 	processes []*process
 	endpoints []*endpoint
 
@@ -86,6 +87,7 @@
 		}
 		l.proxies = append(l.proxies, proxy)
 		l.senders, l.processes = append(l.senders, s), append(l.processes, p)
+		l.clients = append(l.clients, &clients{r: r, addr: s.listen})
 	}
 	for i, s := range l.senders {
 		if err := s.awaitReady(l.processes[i]); err != nil {
@@ -109,12 +111,23 @@
 	return verdict{time.Duration(150+l.rng.IntN(200)) * time.Millisecond, 200}
 }
 
+// tenantOf returns the tenant whose messages a partner gets.
+func tenantOf(dest string) string {
+	switch dest {
+	case "5", "6":
+		return "bay-county-util"
+	case "7":
+		return "north-shore-coop"
+	}
+	return "lakeshore-gas"
+}
+
 // newMessage returns a message of a class with a new id.
 func (l *lakes) newMessage(class, dest string) *message {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id := fmt.Sprintf("%016x", l.rng.Uint64())
-	m := &message{id: id, class: class, tenant: "lakeshore-gas", dest: dest, body: "body of " + id, left: 16 * time.Second}
+	m := &message{id: id, class: class, tenant: tenantOf(dest), dest: dest, body: "body of " + id, left: 16 * time.Second}
 	if class == "nomination" {
 		m.key, m.left = fmt.Sprintf("%016x", l.rng.Uint64()), 24*time.Second
 	}
@@ -125,8 +138,8 @@
 // traffic hands in messages at the usual rate until a time of the run.
 func (l *lakes) traffic(until time.Duration) {
 	rng := rand.New(rand.NewPCG(lakesSeed, 2))
-	var clients sync.WaitGroup
-	defer clients.Wait()
+	var waiting sync.WaitGroup
+	defer waiting.Wait()
 	for n := 0; time.Since(l.began) < until; n++ {
 		name := "nomination"
 		switch x := rng.IntN(100); {
@@ -135,8 +148,8 @@
 		case x < 59:
 			name = "scheduled-quantity"
 		}
-		m, s := l.newMessage(name, strconv.Itoa(l.firstPartner+rng.IntN(lakesPartners-l.firstPartner))), l.senders[n%lakesSenders]
-		clients.Go(func() { l.put(s.listen, m) })
+		m, s := l.newMessage(name, strconv.Itoa(l.firstPartner+rng.IntN(lakesPartners-l.firstPartner))), l.clients[n%lakesSenders]
+		waiting.Go(func() { s.put(m) })
 		time.Sleep(time.Second / lakesRate)
 	}
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1,7 +1,8 @@
 // Command rig runs the cases of the independent review: it starts the program as the deploy file does, plays its
 // clients, endpoints and platform, and judges only what these see.
 //
-//	rig CASE FOLDER    runs a case and writes FOLDER/record.txt
+//	rig CASE FOLDER with       runs a case and writes FOLDER/record.txt
+//	rig CASE FOLDER without    does the same without the case's disruption
 //
 // It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 package main
@@ -22,15 +23,15 @@
 var cases = map[string]func(*rig) error{}
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[3] != "with" && os.Args[3] != "without" {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER with|without")
 		os.Exit(2)
 	}
-	os.Exit(run(cases[os.Args[1]], os.Args[2]))
+	os.Exit(run(cases[os.Args[1]], os.Args[2], os.Args[3] == "with"))
 }
 
 // run runs a case and returns the exit code.
-func run(play func(*rig) error, folder string) int {
+func run(play func(*rig) error, folder string, trouble bool) int {
 	tmp, err := os.MkdirTemp("", "review")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rig:", err)
@@ -43,9 +44,11 @@
 		return 2
 	}
 	defer file.Close()
-	r := &rig{tmp: tmp, file: file, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	r := &rig{tmp: tmp, file: file, began: time.Now(), trouble: trouble, launches: make(chan launch)}
+	go r.launch()
+	go r.watchLateness()
 	defer r.close()
-	r.note("rig", "trouble %v", r.trouble)
+	r.note("rig", "with the disruption: %v", r.trouble)
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	done := make(chan error, 1)
@@ -57,6 +60,9 @@
 	case <-time.After(maxRun):
 		err = fmt.Errorf("not done after %v", maxRun)
 	}
+	if err == nil {
+		err = r.checkRun()
+	}
 	broken := r.brokenRules()
 	switch {
 	case err != nil:
--- a/review/rig/reload.go
+++ b/review/rig/reload.go
@@ -59,7 +59,7 @@
 		l.mu.Lock()
 		l.faults[m.id] = 1
 		l.mu.Unlock()
-		r.put(l.senders[i%lakesSenders].listen, m)
+		l.clients[i%lakesSenders].put(m)
 		marked = append(marked, m)
 		time.Sleep(80 * time.Millisecond)
 	}
@@ -68,9 +68,9 @@
 	return l.judgePayments(marked, first.Add(newRules-margin))
 }
 
-// judgePayments checks that no payment that was handed in before a time was sent twice: each call runs, whether it is
-// answered with 200 or with 500, so that a second one repeats it. The
-// marked ones are those of which a call was to be answered with 500; if one was not, the case could not run.
+// judgePayments checks that no payment that was taken on, and was handed in before a time, was called twice: calls are
+// answered with 200 or with 500 alone, after which a message has run or may have. The marked ones are those of which the
+// first call was to be answered with 500; if one was not, the case could not run.
 func (l *lakes) judgePayments(marked []*message, before time.Time) error {
 	calls, all, errors := l.callsByMessage()
 	l.note("judge", "%d messages, %d calls, %d of them answered with 500", len(l.sent), all, errors)
@@ -78,7 +78,7 @@
 		return fmt.Errorf("%d of %d calls were answered with 500", errors, all)
 	}
 	for _, m := range marked {
-		if !m.accepted || m.sentAt.After(before) || len(calls[m.id]) == 0 {
+		if !m.accepted || m.sentAt.After(before) || len(calls[m.id]) == 0 || calls[m.id][0].status != 500 || !calls[m.id][0].answered {
 			return fmt.Errorf("payment %s, handed in at %.3f, was answered %q and sent %d times", m.id,
 				m.sentAt.Sub(l.began).Seconds(), m.answer, len(calls[m.id]))
 		}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -9,8 +9,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,8 +23,11 @@
 	began   time.Time
 	trouble bool // whether the case's disruption is played
 
+	launches chan launch
+
 	mu        sync.Mutex
-	file      *os.File // the record
+	late      time.Duration // the longest time for which this program was held up
+	file      *os.File      // the record
 	processes []*process
 	broken    []string
 	closed    bool
@@ -61,6 +66,55 @@
 	}
 }
 
+// launch is a process to be started.
+type launch struct {
+	cmd  *exec.Cmd
+	done chan error
+}
+
+// launch starts processes from one thread that lives as long as this program, so that they are killed when the program
+// ends, whatever ends it.
+func (r *rig) launch() {
+	runtime.LockOSThread()
+	for x := range r.launches {
+		x.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		x.done <- x.cmd.Start()
+	}
+}
+
+// maxLate is the longest time for which this program may be held up. A run that is held up for longer judges times that
+// are not those of the senders.
+const maxLate = 150 * time.Millisecond
+
+// watchLateness measures for how long this program is held up.
+func (r *rig) watchLateness() {
+	const tick = 10 * time.Millisecond
+	for {
+		before := time.Now()
+		time.Sleep(tick)
+		r.mu.Lock()
+		r.late = max(r.late, time.Since(before)-tick)
+		r.mu.Unlock()
+	}
+}
+
+// checkRun returns why the run does not count: it was held up, or a process ended that nobody ended.
+func (r *rig) checkRun() error {
+	r.mu.Lock()
+	late, list := r.late, r.processes
+	r.mu.Unlock()
+	r.note("rig", "held up for %v at most", late.Round(time.Millisecond))
+	if late > maxLate {
+		return fmt.Errorf("held up for %v", late)
+	}
+	for _, p := range list {
+		if !p.running() && !p.told.Load() {
+			return fmt.Errorf("a process ended by itself: %s", tail(p.log))
+		}
+	}
+	return nil
+}
+
 // at waits until a time since the begin of the run.
 func (r *rig) at(t time.Duration) { time.Sleep(time.Until(r.began.Add(t))) }
 
@@ -143,6 +197,7 @@
 	name      string
 	listen    string
 	state     string
+	temp      string // its TMPDIR
 	config    string
 	discovery string
 }
@@ -154,9 +209,11 @@
 		return nil, err
 	}
 	s := &sender{r: r, name: name, listen: listen, state: filepath.Join(r.tmp, name, "state"),
-		config: filepath.Join(r.tmp, name, "config.json"), discovery: d.discovery}
-	if err := os.MkdirAll(s.state, 0o700); err != nil {
-		return nil, err
+		temp: filepath.Join(r.tmp, name, "tmp"), config: filepath.Join(r.tmp, name, "config.json"), discovery: d.discovery}
+	for _, folder := range []string{s.state, s.temp} {
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return nil, err
+		}
 	}
 	return s, s.configure(d)
 }
@@ -178,6 +235,7 @@
 	cmd     *exec.Cmd
 	console string
 	ended   chan struct{}
+	told    atomic.Bool // the platform has told it to end
 	log     string
 }
 
@@ -198,14 +256,16 @@
 		log: filepath.Join(cmp.Or(os.Getenv("RIG_LOGS"), s.r.tmp), fmt.Sprintf("%s-%d.log", s.name, n))}
 	p.cmd.Env = append(os.Environ(), "BALANCER_NAME="+s.name, "BALANCER_LISTEN="+s.listen,
 		"BALANCER_DISCOVERY="+s.discovery, "BALANCER_STATE="+s.state, "BALANCER_CONFIG="+s.config,
-		"BALANCER_CONSOLE="+console, "TMPDIR="+s.r.tmp, "COMETRACK_LOG=debug")
+		"BALANCER_CONSOLE="+console, "TMPDIR="+s.temp, "COMETRACK_LOG=debug")
 	logs, err := os.Create(p.log)
 	if err != nil {
 		return nil, err
 	}
 	defer logs.Close()
 	p.cmd.Stdout, p.cmd.Stderr = logs, logs
-	if err := p.cmd.Start(); err != nil {
+	x := launch{p.cmd, make(chan error, 1)}
+	s.r.launches <- x
+	if err := <-x.done; err != nil {
 		return nil, err
 	}
 	s.r.note("platform", "%s: process %d started", s.name, p.cmd.Process.Pid)
@@ -256,6 +316,9 @@
 // signal sends a signal and notes it.
 func (s *sender) signal(p *process, x syscall.Signal) {
 	s.r.note("platform", "%s: %v to process %d", s.name, x, p.cmd.Process.Pid)
+	if x == syscall.SIGTERM || x == syscall.SIGKILL {
+		p.told.Store(true)
+	}
 	p.cmd.Process.Signal(x)
 }
 
--- a/review/rig/silent.go
+++ b/review/rig/silent.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -26,11 +28,17 @@
 	l.mu.Lock()
 	l.hung = map[string]bool{"e-00": true, "e-01": true, "e-02": true, "e-03": true}
 	l.mu.Unlock()
-	for i, s := range l.senders { // one payment each whose time is up before, and one after the connections fall silent
+	var early, late []*message
+	for i, c := range l.clients { // one payment each whose time is up before, and one after the connections fall silent
 		for _, left := range []time.Duration{13 * time.Second, 16 * time.Second} {
 			m := l.newMessage("imbalance-payment", strconv.Itoa(i))
 			m.left = left
-			r.put(s.listen, m)
+			c.put(m)
+			if left < 16*time.Second {
+				early = append(early, m)
+			} else {
+				late = append(late, m)
+			}
 		}
 	}
 	go func() {
@@ -41,21 +49,32 @@
 		l.mu.Unlock()
 	}()
 	r.at(22500 * time.Millisecond)
+	calls, _, _ := l.callsByMessage()
+	for _, m := range append(slices.Clone(early), late...) {
+		_, over := l.platform.noticeOf(m.id)
+		if !m.accepted || len(calls[m.id]) != 1 || calls[m.id][0].status != 0 || over != slices.Contains(early, m) {
+			return fmt.Errorf("payment %s was answered %q, sent %d times, has ended: %v", m.id, m.answer, len(calls[m.id]), over)
+		}
+	}
 	if r.trouble {
 		for i, p := range l.proxies {
-			r.note("network", "n%d: %d connections to the platform fall silent", i, p.silence())
+			n := p.silence()
+			r.note("network", "n%d: %d connections to the platform fall silent", i, n)
+			if n == 0 {
+				return fmt.Errorf("n%d has no connection to the platform", i)
+			}
 		}
 	}
 	traffic.Wait()
 	r.at(55 * time.Second)
-	calls, _, _ := l.callsByMessage()
+	calls, _, _ = l.callsByMessage()
 	for _, m := range l.sent {
 		if !m.accepted {
 			continue
 		}
 		due, delivered := m.sentAt.Add(m.left+lateBy), false
 		for _, c := range calls[m.id] {
-			delivered = delivered || c.status == 200
+			delivered = delivered || c.status == 200 && c.answered
 		}
 		switch n, ok := l.platform.noticeOf(m.id); {
 		case delivered:
--- a/review/rig/upgrade.go
+++ b/review/rig/upgrade.go
@@ -48,7 +48,7 @@
 		l.mu.Lock()
 		l.faults[m.id] = 1
 		l.mu.Unlock()
-		r.put(l.senders[i%lakesSenders].listen, m)
+		l.clients[i%lakesSenders].put(m)
 		marked = append(marked, m)
 		time.Sleep(80 * time.Millisecond)
 	}
