Let replaced settings bind for their whole overlap, however many updates follow

Cause: an update merged the new settings with those of the update before alone. The settings before that, which still bind, were kept nowhere, so that any second update within 1.5 s ended the first one's overlap, also one with an unchanged file.

The core now lists the replaced settings that bind, each until a time of its own clock, and applies the strictest of them and of the current ones. The fewest attempts that bind apply too ("more attempts alone" failed before), and an end of the overlap that can't be applied is tried again. The trace tells effect and attempts under which a message was accepted.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -139,8 +139,9 @@
 	unreportedEnds  []endReport // ends that wait for the journal; no more than there are pending messages
 	endedIDs        []string    // messages that ended since the last step
 	watchers        map[string][]chan State
-	terms           *terms // the terms under which messages are accepted
-	settingsUpdates int
+	terms           *terms                      // the terms under which messages are accepted
+	overlap         settingsInOverlap           // replaced settings that still bind new messages
+	overlapTimer    *time.Timer                 // posts the next overlapEndEvent; nil before the first
 	deciding        context.Context             // done once the successor decides
 	handoverRequest *handoverEvent              // the handover that was requested; nil for none
 	remoteAttempts  map[string]*pendingMessage  // messages with an attempt in flight in the predecessor, by ID
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -272,7 +272,9 @@
 	case handoverEvent:
 		c.requestHandover(ev)
 	case updateSettingsEvent:
-		c.handleUpdateSettings(ev)
+		ev.done <- c.replaceSettings(ev.settings, ev.zones)
+	case overlapEndEvent:
+		c.endOverlap()
 	case retryWriteEvent: // the following step writes the journal
 	case shutdownEvent:
 		c.nextEvents = append(c.nextEvents, logic.Stopping{Remaining: toMicros(ev.timeLeft)})
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -116,9 +116,7 @@
 	case outcomesEvent:
 		r.forwardOutcomes(x)
 	case updateSettingsEvent:
-		if x.done != nil {
-			x.done <- ErrStopped
-		}
+		x.done <- ErrStopped
 	case handoverEvent:
 		x.done <- ErrStopped
 	case shutdownEvent: // attempts still in flight at that time are cancelled, so that they have outcomes
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -112,7 +112,7 @@
 	c.submissions = append(c.submissions, ev)
 	c.newMessages[m.ID] = m
 	event := c.newMessageEvent(m, now)
-	c.traceAccepted(event, m.Partner, m.Class)
+	c.traceAccepted(event, m.Partner, class)
 	c.nextEvents = append(c.nextEvents, event)
 }
 
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -8,10 +8,6 @@
 	"cometrack/logic"
 )
 
-// settingsOverlap is the time after a change of settings for which the stricter of the old and the new terms apply to
-// new messages, because clients learn of the change with a delay.
-const settingsOverlap = 1500 * time.Millisecond
-
 // terms are the settings under which messages are accepted. They apply to a message until it ends.
 type terms struct {
 	number   int64 // in the journal
@@ -83,10 +79,12 @@
 type updateSettingsEvent struct {
 	settings logic.Settings
 	zones    []string
-	done     chan error // buffered; nil for the end of the overlap
-	number   int        // number of the update whose overlap ends
+	done     chan error // buffered
 }
 
+// overlapEndEvent reports that settings in the overlap may have stopped binding.
+type overlapEndEvent struct{}
+
 // UpdateSettings replaces the settings as a whole, or returns an error and changes nothing. Pending messages keep the
 // terms under which they were accepted.
 func (c *Core) UpdateSettings(settings logic.Settings, zones []string) error {
@@ -94,40 +92,65 @@
 	return c.postAndWait(ev, ev.done)
 }
 
-// handleUpdateSettings carries out [Core.UpdateSettings] in the loop.
-func (c *Core) handleUpdateSettings(ev updateSettingsEvent) {
-	if ev.done == nil {
-		if ev.number == c.settingsUpdates {
-			c.applySettings(ev.settings)
-		}
-		return
-	}
+// replaceSettings carries out [Core.UpdateSettings] in the loop. The settings that it replaces bind for another
+// settingsOverlap beside the new ones, and beside those that still bind from earlier updates.
+func (c *Core) replaceSettings(settings logic.Settings, zones []string) error {
 	current := c.clientTerms.Load().settings
-	err := logic.CheckUpdate(current, ev.settings)
+	if err := logic.CheckUpdate(current, settings); err != nil {
+		return err
+	}
 	for i, z := range c.directory.zones {
-		if err == nil && (i >= len(ev.zones) || ev.zones[i] != z) {
-			err = fmt.Errorf("settings: zone %q may not change", z)
+		if i >= len(zones) || zones[i] != z {
+			return fmt.Errorf("settings: zone %q may not change", z)
 		}
 	}
-	if err == nil {
-		err = c.applySettings(logic.Strictest(current, ev.settings))
+	now := c.clock.Now()
+	overlap := c.overlap.bindingAt(now)
+	if !haveEqualTerms(current, settings) {
+		overlap = overlap.add(current, now+settingsOverlap.Microseconds())
 	}
-	if err == nil {
-		c.directory.zones, c.directory.kinds = ev.zones, ev.settings.Kinds
-		c.clientTerms.Store(newTerms(ev.settings))
-		c.settingsUpdates++
-		overlapEnd := updateSettingsEvent{settings: ev.settings, number: c.settingsUpdates}
-		time.AfterFunc(settingsOverlap, func() { c.post(overlapEnd) })
+	if err := c.applySettings(settings, overlap); err != nil {
+		return err
 	}
-	ev.done <- err
+	c.directory.zones, c.directory.kinds = zones, settings.Kinds
+	c.clientTerms.Store(newTerms(settings))
+	return nil
 }
 
-// applySettings passes settings to the scheduler and accepts messages under them.
-func (c *Core) applySettings(settings logic.Settings) error {
-	if err := c.setTerms(newTerms(settings)); err != nil {
+// applySettings passes the strictest of the settings and of those in the overlap to the scheduler and accepts messages
+// under them. After an error nothing has changed.
+func (c *Core) applySettings(settings logic.Settings, overlap settingsInOverlap) error {
+	accepting := newTerms(overlap.strictest(settings))
+	if err := c.setTerms(accepting); err != nil {
 		c.log.Error("settings", "err", err)
 		return err
 	}
-	c.nextEvents = append(c.nextEvents, logic.UpdateSettings{Settings: settings})
+	c.overlap = overlap
+	c.nextEvents = append(c.nextEvents, logic.UpdateSettings{Settings: accepting.settings})
+	if until, ok := overlap.nextEnd(); ok {
+		c.scheduleOverlapEnd(time.Until(c.clock.Moment(until)))
+	}
 	return nil
 }
+
+// scheduleOverlapEnd posts an overlapEndEvent after a delay. An earlier schedule is replaced.
+func (c *Core) scheduleOverlapEnd(delay time.Duration) {
+	if c.overlapTimer != nil {
+		c.overlapTimer.Stop()
+	}
+	c.overlapTimer = time.AfterFunc(delay, func() { c.post(overlapEndEvent{}) })
+}
+
+// endOverlap drops the settings that no longer bind. If the result can't be applied, the stricter settings stay and
+// it is tried again later.
+func (c *Core) endOverlap() {
+	overlap := c.overlap.bindingAt(c.clock.Now())
+	if len(overlap) == len(c.overlap) { // posted for an earlier overlap
+		return
+	}
+	if err := c.applySettings(c.clientTerms.Load().settings, overlap); err != nil {
+		c.scheduleOverlapEnd(sweepInterval)
+		return
+	}
+	c.log.Info("replaced settings no longer bind new messages", "still_binding", len(overlap))
+}
--- a/internal/core/terms_test.go
+++ b/internal/core/terms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -112,19 +113,103 @@
 
 const testDeadline = 2 * time.Second // allowed by each class
 
-// Right after a change of settings, clients may not know it. A class that becomes safe is still treated as unsafe.
-func TestSettingsOverlapIsStrict(t *testing.T) {
+// failsAfterOneAttempt checks that a message that is submitted now is not sent again after its first attempt, which may
+// have run.
+func (r *rig) failsAfterOneAttempt(id, class string) {
+	r.t.Helper()
+	if got := r.submitAndWait(newMessage(id, class)); got.Status != Accepted {
+		r.t.Fatalf("submission of %s: %+v", id, got)
+	}
+	byhand.Await(r.t, r.fakeTransport.attempts, "attempt").result <- Result{Outcome: logic.ConnectionBroken}
+	select {
+	case end := <-r.fakeSink.added:
+		if end.ID != id || end.State != message.Failed || end.Attempts != 1 {
+			r.t.Errorf("end %+v", end)
+		}
+	case attempt := <-r.fakeTransport.attempts:
+		r.t.Fatalf("%s is sent again", attempt.Message.ID)
+	case <-time.After(byhand.Timeout):
+		r.t.Fatalf("%s has no end", id)
+	}
+	r.fakeSink.confirm <- id
+}
+
+// Right after changes of settings, clients may know none of them. The settings before the first change still bind: a
+// later change within the overlap must not end it, or an unsafe message runs twice.
+func TestOverlapOutlivesFurtherUpdates(t *testing.T) {
+	type update struct {
+		attempts int
+		classes  []string
+		refused  bool
+	}
+	for name, updates := range map[string][]update{
+		"one update":          {{3, []string{"x safe"}, false}},
+		"other attempts":      {{3, []string{"x safe"}, false}, {5, []string{"x safe"}, false}},
+		"unchanged settings":  {{3, []string{"x safe"}, false}, {3, []string{"x safe"}, false}},
+		"back and forth":      {{3, []string{"x safe"}, false}, {3, []string{"x unsafe"}, false}, {3, []string{"x keyed"}, false}},
+		"dropped and back":    {{3, []string{"y safe"}, false}, {3, []string{"x safe"}, false}},
+		"refused":             {{3, []string{"x safe"}, false}, {-1, []string{"x safe"}, true}},
+		"many":                {{3, []string{"x safe"}, false}, {4, []string{"x safe"}, false}, {5, []string{"x safe"}, false}, {6, []string{"x safe"}, false}, {7, []string{"x safe"}, false}, {8, []string{"x safe"}, false}, {9, []string{"x safe"}, false}, {10, []string{"x safe"}, false}, {11, []string{"x safe"}, false}, {12, []string{"x safe"}, false}},
+		"more attempts alone": {{1, []string{"x safe"}, false}, {5, []string{"x safe"}, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cfg := testConfig()
+			cfg.Settings = settingsWith(cfg, 3, "x unsafe")
+			r := newRig(t, t.TempDir(), cfg).run()
+			for _, u := range updates {
+				err := r.UpdateSettings(settingsWith(cfg, u.attempts, u.classes...), cfg.Zones)
+				if (err != nil) != u.refused {
+					t.Fatal(err)
+				}
+			}
+			r.failsAfterOneAttempt("early", "x")
+			r.shutDown()
+		})
+	}
+}
+
+// awaitOverlapEnd returns an option that logs to a channel, and a function that waits until no replaced settings bind.
+func awaitOverlapEnd(t *testing.T) (option func(*Dependencies), wait func()) {
+	lines := make(logLines, 1024)
+	option = func(deps *Dependencies) { deps.Log = slog.New(slog.NewTextHandler(lines, nil)) }
+	return option, func() {
+		t.Helper()
+		for !strings.Contains(byhand.Await(t, lines, "end of the overlap"), "still_binding=0") {
+		}
+	}
+}
+
+// logLines receives the lines of a log. Lines beyond its capacity are dropped.
+type logLines chan string
+
+func (l logLines) Write(line []byte) (int, error) {
+	select {
+	case l <- string(line):
+	default:
+	}
+	return len(line), nil
+}
+
+// Once the overlap of the last change is over, the new settings alone bind.
+func TestOverlapEnds(t *testing.T) {
+	logged, awaitEnd := awaitOverlapEnd(t)
 	cfg := testConfig()
 	cfg.Settings = settingsWith(cfg, 3, "x unsafe")
-	r := newRig(t, t.TempDir(), cfg).run()
-	if err := r.UpdateSettings(settingsWith(cfg, 3, "x safe"), cfg.Zones); err != nil {
-		t.Fatal(err)
+	r := newRig(t, t.TempDir(), cfg, logged).run()
+	began := time.Now()
+	for _, attempts := range []int{3, 2} {
+		if err := r.UpdateSettings(settingsWith(cfg, attempts, "x safe"), cfg.Zones); err != nil {
+			t.Fatal(err)
+		}
 	}
-	r.submitAndWait(newMessage("early", "x"))
-	byhand.Await(t, r.fakeTransport.attempts, "attempt").result <- Result{Outcome: logic.ConnectionBroken}
-	if x := byhand.Await(t, r.fakeSink.added, "end"); x.ID != "early" || x.State != message.Failed {
-		t.Errorf("end %+v", x)
+	awaitEnd()
+	if took := time.Since(began); took < settingsOverlap {
+		t.Errorf("the earlier settings bound for %v", took)
 	}
-	r.fakeSink.confirm <- "early"
+	r.submitAndWait(newMessage("late", "x"))
+	byhand.Await(t, r.fakeTransport.attempts, "attempt").result <- Result{Outcome: logic.ConnectionBroken}
+	byhand.Await(t, r.fakeTransport.attempts, "second attempt").result <- Result{Outcome: logic.Completed}
+	r.fakeSink.confirm <- byhand.Await(t, r.fakeSink.added, "end").ID
 	r.shutDown()
 }
--- a/internal/permit/send.go
+++ b/internal/permit/send.go
@@ -1,6 +1,9 @@
 package permit
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Effect is the effect of delivering a message a second time.
 type Effect int
@@ -12,6 +15,19 @@
 	Unsafe               // must not run twice
 )
 
+// String returns the name of the effect.
+func (e Effect) String() string {
+	switch e {
+	case Safe:
+		return "safe"
+	case Keyed:
+		return "keyed"
+	case Unsafe:
+		return "unsafe"
+	}
+	return fmt.Sprintf("Effect(%d)", int(e))
+}
+
 const (
 	// MaxStall is the longest time for which a process may stall between its last reading of the clock and a
 	// write.
--- a/logic/retune_test.go
+++ b/logic/retune_test.go
@@ -104,6 +104,9 @@
 		if len(got.Classes) != len(next.Classes) || CheckUpdate(was, got) != nil {
 			t.Fatalf("%+v", got.Classes)
 		}
+		if got.MaxTries > was.MaxTries || got.MaxTries > next.MaxTries {
+			t.Fatalf("%d attempts, %d and %d allowed", got.MaxTries, was.MaxTries, next.MaxTries)
+		}
 		for i, c := range got.Classes {
 			if c.Name != next.Classes[i].Name || c.Effect < next.Classes[i].Effect {
 				t.Fatalf("class %d: %+v", i, c)
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -76,9 +76,12 @@
 	return nil
 }
 
-// Strictest returns the next settings, with classes that are at least as strict as those of either settings.
-// They apply while it is not certain which settings a client knows.
+// Strictest returns the next settings, with classes that are at least as strict as those of either settings, and no
+// more attempts than either allows. They apply while it is not certain which settings a client knows.
 func Strictest(current, next Settings) Settings {
+	if current.MaxTries > 0 && (next.MaxTries == 0 || current.MaxTries < next.MaxTries) { // 0 is no limit
+		next.MaxTries = current.MaxTries
+	}
 	next.Classes = slices.Clone(next.Classes)
 	for i := range next.Classes {
 		c := &next.Classes[i]
