Number terms at once, so that two changes in one turn get numbers of their own

What callers could see: a message that was accepted between two changes of the settings in one turn of the loop (a SIGHUP and the end of an overlap) is taken after a crash for one of the later terms, or of the current class, and may be repeated though it was unsafe.

Two sets of one turn got one number, and the second replaced the first.

Evidence: TestUpdatesInOneTurnKeepTermsApart fails on the commit before ("between is sent again").

AddTerms now adds the set to the stored ones itself, and the next Append writes it before the messages that refer to it. Sets under which messages may have been accepted since the last Append are kept. The record OpTerms is not needed any more; it was never part of a file.

--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -64,13 +64,10 @@
 
 // setTerms sets the terms under which messages are accepted from now on. It is called by the loop and by New.
 func (c *Core) setTerms(t *terms) error {
-	n, rec, err := c.store.AddTerms(t.journalTerms())
+	n, err := c.store.AddTerms(t.journalTerms())
 	if err != nil {
 		return err
 	}
-	if rec != nil {
-		c.records = append(c.records, *rec)
-	}
 	t.number, c.terms = n, t
 	return nil
 }
--- a/internal/core/terms_test.go
+++ b/internal/core/terms_test.go
@@ -213,3 +213,41 @@
 	r.fakeSink.confirm <- byhand.Await(t, r.fakeSink.added, "end").ID
 	r.shutDown()
 }
+
+// Settings change twice in one turn of the loop, around the acceptance of a message. After a crash the message still has
+// the terms of its acceptance: both changes must not get the same number in the journal.
+func TestUpdatesInOneTurnKeepTermsApart(t *testing.T) {
+	dir, cfg := t.TempDir(), testConfig()
+	cfg.Settings = settingsWith(cfg, 3, "x unsafe")
+	r := newRig(t, dir, cfg)
+	response := make(chan SubmitResponse, 1)
+	updates := make(chan error, 2)
+	r.post(updateSettingsEvent{settingsWith(cfg, 3, "x unsafe", "y unsafe"), cfg.Zones, updates})
+	r.post(submitEvent{msg: newMessage("between", "y"), response: response})
+	r.post(updateSettingsEvent{settingsWith(cfg, 2, "x unsafe"), cfg.Zones, updates})
+	r.run()
+	for range 2 {
+		if err := byhand.Await(t, updates, "update"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := byhand.Await(t, response, "response"); got.Status != Accepted {
+		t.Fatalf("submission: %+v", got)
+	}
+	byhand.Await(t, r.fakeTransport.attempts, "attempt")
+	r.crash()
+	cfg.Settings = settingsWith(cfg, 3, "x unsafe", "y safe")
+	r = newRig(t, dir, cfg).run()
+	select {
+	case end := <-r.fakeSink.added:
+		if end.ID != "between" || end.State != message.Failed {
+			t.Errorf("end %+v", end)
+		}
+	case attempt := <-r.fakeTransport.attempts:
+		t.Fatalf("%s is sent again", attempt.Message.ID)
+	case <-time.After(byhand.Timeout):
+		t.Fatal("the message has no end")
+	}
+	r.fakeSink.confirm <- "between"
+	r.shutDown()
+}
--- a/internal/journal/apply.go
+++ b/internal/journal/apply.go
@@ -58,11 +58,6 @@
 	case OpPartner:
 		j.applyPartner(rec.ID, rec.Partner)
 		return nil
-	case OpTerms:
-		if rec.Terms != nil {
-			j.applyTerms(rec.Terms)
-		}
-		return nil
 	case OpEnded:
 		if x := rec.Ended; x != nil {
 			j.lastNumber++
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -55,7 +55,6 @@
 	OpWait                   // the endpoint ID has requested a wait until At
 	OpEnded                  // Ended is retained; only in files of versions before 0.3
 	OpPartner                // Partner is the state of the partner ID
-	OpTerms                  // messages are accepted under Terms from here on
 	// OpLeftBacklog records that the message with the number BacklogSeq has left the backlog, if nothing else is stored
 	// of it.
 	OpLeftBacklog
@@ -74,7 +73,6 @@
 	End        *message.End `json:"notice,omitempty"`
 	Ended      *Ended       `json:"ended,omitempty"`
 	Partner    *Partner     `json:"-"`
-	Terms      *Terms       `json:"-"`
 	BacklogSeq uint64       `json:"-"`
 	Count      uint64       `json:"-"`
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -69,7 +69,7 @@
 	undo            []undo
 	batched         []string              // ids of the messages in the batch being built
 	reopening       bool                  // the store has failed and is not open again
-	unwritten       bool                  // a write has failed, and its changes are not in the store
+	unwritten       bool                  // changes that are in no record given to Append are not in the store
 	dirty           map[string]dirtyFlags // messages whose records in the store are out of date, by id
 	changed         []string              // keys of dirty, in the order of the changes
 	dirtyWaits      map[string]bool       // endpoints whose waits in the store are out of date
@@ -78,7 +78,7 @@
 	dirtyTerms      map[int64]bool // terms whose records in the store are out of date
 	leftBacklog     seqSet
 	termsInUse      func() []int64 // terms of messages outside the journal; nil for none
-	currentTerms    int64          // number of the terms under which messages are accepted
+	acceptingTerms  []int64        // terms under which messages were accepted since the last Append, and the current ones
 	lastTermsNumber int64
 }
 
@@ -251,6 +251,7 @@
 	if err := j.reopenFailedStore(); err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
+	defer j.releaseTerms()
 	j.reserved = 0
 	clear(j.undo)
 	j.undo = j.undo[:0]
--- a/internal/journal/terms.go
+++ b/internal/journal/terms.go
@@ -41,26 +41,47 @@
 const maxTermsBytes = 64 << 10
 
 // AddTerms returns the number of terms, under which further messages are to be accepted. Equal
-// terms that are stored already keep their number; otherwise the caller must append the returned
-// record before those of the messages.
-func (j *Journal) AddTerms(t Terms) (n int64, rec *Record, err error) {
+// terms that are stored already keep their number; others are written by the next Append.
+func (j *Journal) AddTerms(t Terms) (int64, error) {
+	n, err := j.numberTerms(t)
+	if err != nil {
+		return 0, err
+	}
+	j.acceptingTerms = append(j.acceptingTerms, n)
+	return n, nil
+}
+
+// numberTerms returns the number of stored terms that equal t. If there are none, it adds t to the
+// stored terms, under a new number.
+func (j *Journal) numberTerms(t Terms) (int64, error) {
 	for _, x := range j.terms {
 		if x.Equal(&t) {
-			j.currentTerms = x.Number
-			return x.Number, nil, nil
+			return x.Number, nil
 		}
 	}
 	if size := len(encode(&bytes.Buffer{}, &t)); size > maxTermsBytes-maxRecordOverhead {
-		return 0, nil, fmt.Errorf("journal: the classes take %d bytes, over the limit of %d bytes",
+		return 0, fmt.Errorf("journal: the classes take %d bytes, over the limit of %d bytes",
 			size, maxTermsBytes-maxRecordOverhead)
 	}
-	j.dropTerms()
 	if len(j.terms) >= maxTerms {
-		return 0, nil, fmt.Errorf("journal: pending messages refer to %d different sets of classes, which is the limit",
+		j.dropTerms()
+	}
+	if len(j.terms) >= maxTerms {
+		return 0, fmt.Errorf("journal: pending messages refer to %d different sets of classes, which is the limit",
 			len(j.terms))
 	}
-	t.Number = j.lastTermsNumber + 1
-	return t.Number, &Record{Op: OpTerms, Terms: &t}, nil
+	j.lastTermsNumber++
+	t.Number = j.lastTermsNumber
+	j.terms[t.Number], j.dirtyTerms[t.Number], j.unwritten = &t, true, true
+	return t.Number, nil
+}
+
+// releaseTerms allows terms to be dropped that were replaced before the last Append. Messages that were accepted under
+// them are stored, or were rejected.
+func (j *Journal) releaseTerms() {
+	if n := len(j.acceptingTerms); n > 1 {
+		j.acceptingTerms = j.acceptingTerms[n-1:]
+	}
 }
 
 // SetTermsInUse sets the function that lists the numbers of the terms of messages outside the
@@ -70,18 +91,16 @@
 // Terms returns the terms with a number; nil if there are none.
 func (j *Journal) Terms(n int64) *Terms { return j.terms[n] }
 
-// applyTerms stores terms as those under which messages are accepted.
-func (j *Journal) applyTerms(t *Terms) {
-	j.terms[t.Number], j.dirtyTerms[t.Number] = t, true
-	j.currentTerms, j.lastTermsNumber = t.Number, max(j.lastTermsNumber, t.Number)
-}
-
-// dropTerms drops terms that no message refers to, except the current ones.
+// dropTerms drops terms that no message refers to, except those under which messages may have been
+// accepted since the last Append.
 func (j *Journal) dropTerms() {
 	if len(j.terms) < 2 {
 		return
 	}
-	used := map[int64]bool{j.currentTerms: true}
+	used := map[int64]bool{}
+	for _, n := range j.acceptingTerms {
+		used[n] = true
+	}
 	for _, e := range j.entries {
 		used[e.Terms] = true
 	}
