--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -151,7 +151,9 @@
 
 // New creates a core. Run starts it.
 func New(cfg Config, deps Dependencies) (*Core, error) {
-	sender, err := logic.New(cfg.Settings, cfg.Seed)
+	overlap := overlapAtStart(deps.Store.TermsInForce(), cfg.Settings, deps.Store.Clock().Now())
+	accepting := newTerms(overlap.strictest(cfg.Settings))
+	sender, err := logic.New(accepting.settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
@@ -170,7 +172,10 @@
 		pending:        map[string]*pendingMessage{}, newMessages: map[string]*message.Message{},
 		watchers: map[string][]chan State{}}
 	c.clientTerms.Store(newTerms(cfg.Settings))
-	return c, c.setTerms(newTerms(cfg.Settings))
+	if len(overlap) > 0 {
+		c.log.Info("settings of an earlier process still bind new messages", "sets", len(overlap))
+	}
+	return c, c.setTermsInForce(accepting, cfg.Settings, overlap)
 }
 
 // Clock returns the clock by which deadlines of messages are given.
--- a/internal/core/overlap.go
+++ b/internal/core/overlap.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"cometrack/internal/journal"
 	"cometrack/logic"
 )
 
@@ -25,6 +27,25 @@
 // are accepted under the strictest of these and the current settings. The methods do not modify their receiver.
 type settingsInOverlap []replacedSettings
 
+// overlapAtStart returns the settings that bind beside the configured ones when a process starts at now. Those that an
+// earlier process had replaced bind until their time. If that process had other settings than the configured ones, the
+// change counts as made now: a signal that announced it may have been lost with the process.
+func overlapAtStart(stored journal.TermsInForce, configured logic.Settings, now int64) settingsInOverlap {
+	latest := now + settingsOverlap.Microseconds()
+	slices.SortStableFunc(stored.Superseded, func(a, b journal.SupersededTerms) int { return cmp.Compare(a.BindUntil, b.BindUntil) })
+	var overlap settingsInOverlap
+	for _, superseded := range stored.Superseded {
+		if superseded.BindUntil > now {
+			overlap = overlap.add(settingsFromJournal(superseded.Terms), min(superseded.BindUntil, latest))
+		}
+	}
+	last := settingsFromJournal(stored.Configured)
+	if len(last.Classes) > 0 && !haveEqualTerms(last, configured) {
+		overlap = overlap.add(last, latest)
+	}
+	return overlap
+}
+
 // bindingAt returns the settings that still bind at a time.
 func (o settingsInOverlap) bindingAt(now int64) settingsInOverlap {
 	binding := settingsInOverlap{}
--- a/internal/core/seams.go
+++ b/internal/core/seams.go
@@ -147,7 +147,8 @@
 	UnsavedEnds() []*journal.Ended
 	AddUnsavedEnds(list []*journal.Ended)
 	Waits() map[string]int64
-	AddTerms(t journal.Terms) (int64, error)
+	SetTermsInForce(inForce journal.TermsInForce) (accepting int64, err error)
+	TermsInForce() journal.TermsInForce
 	Terms(n int64) *journal.Terms
 	// SetTermsInUse keeps the terms whose numbers list returns, which messages outside the store refer to.
 	SetTermsInUse(list func() []int64)
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -53,22 +53,43 @@
 	}
 	for _, c := range t.Classes {
 		if c.Name == class {
-			return &logic.Terms{MaxTries: t.MaxAttempts, Class: logic.Class{Name: c.Name, Aim: logic.Micros(c.Aim),
-				Deadline: logic.Micros(c.Deadline), Worth: c.Worth, LateWorth: c.LateWorth,
-				Effect: logic.Effect(c.Effect), ByZone: c.ByZone, Window: logic.Micros(c.Window),
-				KeepOrder: c.KeepOrder}}
+			return &logic.Terms{MaxTries: t.MaxAttempts, Class: classFromJournal(c)}
 		}
 	}
 	return nil
 }
 
-// setTerms sets the terms under which messages are accepted from now on. It is called by the loop and by New.
-func (c *Core) setTerms(t *terms) error {
-	n, err := c.store.AddTerms(t.journalTerms())
+func classFromJournal(c journal.ClassTerms) logic.Class {
+	return logic.Class{Name: c.Name, Aim: logic.Micros(c.Aim), Deadline: logic.Micros(c.Deadline), Worth: c.Worth,
+		LateWorth: c.LateWorth, Effect: logic.Effect(c.Effect), ByZone: c.ByZone, Window: logic.Micros(c.Window),
+		KeepOrder: c.KeepOrder}
+}
+
+// settingsFromJournal returns settings with the classes and the number of attempts of stored terms.
+func settingsFromJournal(t journal.Terms) logic.Settings {
+	settings := logic.Settings{MaxTries: t.MaxAttempts}
+	for _, c := range t.Classes {
+		settings.Classes = append(settings.Classes, classFromJournal(c))
+	}
+	return settings
+}
+
+// setTermsInForce accepts messages under the given terms from now on, which are the strictest of the settings and of
+// those in the overlap. It is called by the loop and by New. After an error nothing has changed.
+func (c *Core) setTermsInForce(accepting *terms, settings logic.Settings, overlap settingsInOverlap) error {
+	inForce := journal.TermsInForce{Accepting: accepting.journalTerms(), Configured: newTerms(settings).journalTerms()}
+	for _, replaced := range overlap {
+		inForce.Superseded = append(inForce.Superseded, journal.SupersededTerms{
+			Terms: newTerms(replaced.settings).journalTerms(), BindUntil: replaced.bindUntil})
+	}
+	n, err := c.store.SetTermsInForce(inForce)
 	if err != nil {
 		return err
 	}
-	t.number, c.terms = n, t
+	accepting.number, c.terms, c.overlap = n, accepting, overlap
+	if until, ok := overlap.nextEnd(); ok {
+		c.scheduleOverlapEnd(time.Until(c.clock.Moment(until)))
+	}
 	return nil
 }
 
@@ -118,15 +139,11 @@
 // under them. After an error nothing has changed.
 func (c *Core) applySettings(settings logic.Settings, overlap settingsInOverlap) error {
 	accepting := newTerms(overlap.strictest(settings))
-	if err := c.setTerms(accepting); err != nil {
+	if err := c.setTermsInForce(accepting, settings, overlap); err != nil {
 		c.log.Error("settings", "err", err)
 		return err
 	}
-	c.overlap = overlap
 	c.nextEvents = append(c.nextEvents, logic.UpdateSettings{Settings: accepting.settings})
-	if until, ok := overlap.nextEnd(); ok {
-		c.scheduleOverlapEnd(time.Until(c.clock.Moment(until)))
-	}
 	return nil
 }
 
--- a/internal/core/terms_test.go
+++ b/internal/core/terms_test.go
@@ -169,6 +169,75 @@
 	}
 }
 
+// A process ends within the overlap of a change of settings, and another one continues with the new settings. Clients may
+// not know of the change, so the settings before it still bind: an unsafe message must not run twice.
+func TestOverlapOutlivesProcess(t *testing.T) {
+	unsafe, safe := []string{"x unsafe"}, []string{"x safe"}
+	type event struct {
+		classes []string // for a change of settings
+		crash   bool     // the process ends in the same moment
+		started []string // the settings with which the next one starts
+	}
+	for name, events := range map[string][]event{
+		"after a change":              {{classes: safe}, {crash: true, started: safe}},
+		"the signal is lost":          {{crash: true, started: safe}},
+		"two ends":                    {{classes: safe}, {crash: true, started: safe}, {crash: true, started: safe}},
+		"two changes":                 {{classes: safe}, {classes: []string{"x safe", "y safe"}}, {crash: true, started: []string{"x safe", "y safe"}}},
+		"a change after the end":      {{classes: safe}, {crash: true, started: safe}, {classes: []string{"x safe", "y safe"}}},
+		"dropped, and back by a file": {{classes: []string{"y safe"}}, {crash: true, started: safe}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir, cfg := t.TempDir(), testConfig()
+			cfg.Settings = settingsWith(cfg, 3, unsafe...)
+			r := newRig(t, dir, cfg).run()
+			for _, ev := range events {
+				if ev.crash {
+					r.crash()
+					cfg.Settings = settingsWith(cfg, 3, ev.started...)
+					r = newRig(t, dir, cfg).run()
+				} else if err := r.UpdateSettings(settingsWith(cfg, 3, ev.classes...), cfg.Zones); err != nil {
+					t.Fatal(err)
+				}
+			}
+			r.failsAfterOneAttempt("early", "x")
+			r.shutDown()
+		})
+	}
+}
+
+// The overlap ends at the same time after a restart within it as without one, and a restart with the same settings begins
+// none.
+func TestOverlapEndsAfterRestart(t *testing.T) {
+	dir, cfg := t.TempDir(), testConfig()
+	cfg.Settings = settingsWith(cfg, 3, "x unsafe")
+	r := newRig(t, dir, cfg).run()
+	began := time.Now()
+	if err := r.UpdateSettings(settingsWith(cfg, 3, "x safe"), cfg.Zones); err != nil {
+		t.Fatal(err)
+	}
+	latest := time.Now().Add(settingsOverlap)
+	r.crash()
+	cfg.Settings = settingsWith(cfg, 3, "x safe")
+	logged, awaitEnd := awaitOverlapEnd(t)
+	r = newRig(t, dir, cfg, logged)
+	if len(r.overlap) != 1 {
+		t.Fatalf("overlap %+v", r.overlap)
+	}
+	end := r.clock.Moment(r.overlap[0].bindUntil)
+	if end.Before(began.Add(settingsOverlap-time.Millisecond)) || end.After(latest.Add(time.Millisecond)) {
+		t.Errorf("the overlap ends %v after the change", end.Sub(began))
+	}
+	r.run()
+	awaitEnd()
+	r.shutDown()
+	r = newRig(t, dir, cfg)
+	if len(r.overlap) != 0 {
+		t.Errorf("overlap after a restart without a change: %+v", r.overlap)
+	}
+	r.run().shutDown()
+}
+
 // awaitOverlapEnd returns an option that logs to a channel, and a function that waits until no replaced settings bind.
 func awaitOverlapEnd(t *testing.T) (option func(*Dependencies), wait func()) {
 	lines := make(logLines, 1024)
--- a/internal/journal/describe.go
+++ b/internal/journal/describe.go
@@ -4,7 +4,7 @@
 
 // Description is a record of the store in readable form, as `cometrack store dump` prints it.
 type Description struct {
-	Kind  string `json:"what"` // message, state, wait, partner, terms or passed
+	Kind  string `json:"what"` // message, state, wait, partner, terms, terms in force or passed
 	ID    string `json:"id"`   // the record's key without its prefix, such as the message's id or the endpoint's name
 	Value any    `json:"value"`
 }
@@ -26,6 +26,8 @@
 		d.Kind, d.Value = "partner", &Partner{}
 	case keyTerms:
 		d.Kind, d.Value = "terms", &Terms{}
+	case keyTermsInForce:
+		d.Kind, d.Value = "terms in force", &termsInForceRecord{}
 	case keyLeftBacklog:
 		d.Kind = "passed"
 		p := newSeqSet()
--- a/internal/journal/describe_test.go
+++ b/internal/journal/describe_test.go
@@ -34,6 +34,8 @@
 			`"bins":"AQ==","weights":[4],"cuts":5,"sampled":6}}`},
 		{"c3", terms, `{"what":"terms","id":"3","value":{"n":3,"attempts":2,"classes":[{"name":"safe","aim":0,` +
 			`"deadline":0,"worth":0,"late_worth":0,"effect":0,"by_zone":true,"window":1,"keep_order":true}]}}`},
+		{"f", &termsInForceRecord{Configured: 4, Superseded: []supersededRecord{{3, 500}}, Newest: 4},
+			`{"what":"terms in force","id":"","value":{"Configured":4,"Superseded":[{"Terms":3,"BindUntil":500}],"Newest":4}}`},
 	} {
 		d, err := Describe(c.key, encode(&bytes.Buffer{}, c.record))
 		if err != nil {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -80,6 +80,9 @@
 	termsInUse      func() []int64 // terms of messages outside the journal; nil for none
 	acceptingTerms  []int64        // terms under which messages were accepted since the last Append, and the current ones
 	lastTermsNumber int64
+
+	termsInForce      *termsInForceRecord // nil if it is not known
+	dirtyTermsInForce bool                // the record in the store is out of date
 }
 
 // Open opens the journal in the folder dir and reads it. It imports the file that a version
@@ -163,6 +166,13 @@
 				return err
 			}
 			j.terms[t.Number], j.lastTermsNumber = t, max(j.lastTermsNumber, t.Number)
+		case keyTermsInForce:
+			r := &termsInForceRecord{}
+			if err := decode(key, value, r); err != nil { // without it all stored terms bind
+				j.log.Warn("journal: discarding the record of the terms in force, which can't be decoded", "err", err)
+				return nil
+			}
+			j.termsInForce = r
 		case keyLeftBacklog:
 			if err := j.leftBacklog.load(id, value); err != nil {
 				return err
@@ -225,6 +235,7 @@
 	}
 	slices.SortFunc(ended, func(a, b *Ended) int { return int(min(max(a.EndedAt-b.EndedAt, -1), 1)) })
 	known := j.startClock(savedEpoch, ended)
+	j.checkTermsInForce(known)
 	for _, x := range ended {
 		if !known { // its retention starts again, so that it is not dropped too early
 			x.RetainUntil = max(x.RetainUntil, j.clock.Now()+max(x.RetainUntil-x.EndedAt, 0))
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -14,13 +14,14 @@
 // and its state. Both have the message's number N, by which a state is recognized that an earlier
 // message with the same id has left.
 const (
-	keyMessage     = "m" // and the message's id
-	keyState       = "s" // and the message's id
-	keyWait        = "w" // and the name of the endpoint that requested the wait
-	keyPartner     = "p" // and the partner's name
-	keyTerms       = "c" // and the number of the terms
-	keyLeftBacklog = "b" // and the number of a page of backlog sequence numbers, see [seqSet]
-	keyClock       = "t" // a single record, which relates the times of the others to a clock
+	keyMessage      = "m" // and the message's id
+	keyState        = "s" // and the message's id
+	keyWait         = "w" // and the name of the endpoint that requested the wait
+	keyPartner      = "p" // and the partner's name
+	keyTerms        = "c" // and the number of the terms
+	keyTermsInForce = "f" // a single record, see [TermsInForce]
+	keyLeftBacklog  = "b" // and the number of a page of backlog sequence numbers, see [seqSet]
+	keyClock        = "t" // a single record, which relates the times of the others to a clock
 )
 
 // The records are CBOR maps (RFC 8949) with numbers as keys; a reader skips unknown keys. Times are those of package
--- a/internal/journal/revive.go
+++ b/internal/journal/revive.go
@@ -58,6 +58,7 @@
 	for n := range j.terms {
 		j.dirtyTerms[n] = true
 	}
+	j.dirtyTermsInForce = true
 	for n := range j.leftBacklog.pages {
 		j.leftBacklog.dirty[n] = true
 	}
--- a/internal/journal/terms.go
+++ b/internal/journal/terms.go
@@ -33,24 +33,17 @@
 	return t.MaxAttempts == x.MaxAttempts && slices.Equal(t.Classes, x.Classes)
 }
 
-// maxTerms bounds the number of terms stored at once. Above it new terms are rejected, since those
-// that pending messages refer to can't be dropped.
-const maxTerms = 32
+const (
+	// maxTerms bounds the number of terms that pending messages may refer to. Beyond it and maxTermsInForce new terms are
+	// rejected, since those in use can't be dropped.
+	maxTerms = 32
+	// maxTermsInForce is the number of terms that may be in force at once without being those of a message.
+	maxTermsInForce = 10
+)
 
 // maxTermsBytes is an upper bound of the size of a record of terms in bytes.
 const maxTermsBytes = 64 << 10
 
-// AddTerms returns the number of terms, under which further messages are to be accepted. Equal
-// terms that are stored already keep their number; others are written by the next Append.
-func (j *Journal) AddTerms(t Terms) (int64, error) {
-	n, err := j.numberTerms(t)
-	if err != nil {
-		return 0, err
-	}
-	j.acceptingTerms = append(j.acceptingTerms, n)
-	return n, nil
-}
-
 // numberTerms returns the number of stored terms that equal t. If there are none, it adds t to the
 // stored terms, under a new number.
 func (j *Journal) numberTerms(t Terms) (int64, error) {
@@ -63,10 +56,7 @@
 		return 0, fmt.Errorf("journal: the classes take %d bytes, over the limit of %d bytes",
 			size, maxTermsBytes-maxRecordOverhead)
 	}
-	if len(j.terms) >= maxTerms {
-		j.dropTerms()
-	}
-	if len(j.terms) >= maxTerms {
+	if len(j.terms) >= maxTerms+maxTermsInForce {
 		return 0, fmt.Errorf("journal: pending messages refer to %d different sets of classes, which is the limit",
 			len(j.terms))
 	}
@@ -91,14 +81,14 @@
 // Terms returns the terms with a number; nil if there are none.
 func (j *Journal) Terms(n int64) *Terms { return j.terms[n] }
 
-// dropTerms drops terms that no message refers to, except those under which messages may have been
-// accepted since the last Append.
+// dropTerms drops terms that no message refers to, except those in force and those under which
+// messages may have been accepted since the last Append.
 func (j *Journal) dropTerms() {
 	if len(j.terms) < 2 {
 		return
 	}
 	used := map[int64]bool{}
-	for _, n := range j.acceptingTerms {
+	for _, n := range slices.Concat(j.acceptingTerms, j.termsInForce.numbers()) {
 		used[n] = true
 	}
 	for _, e := range j.entries {
--- a/internal/journal/write.go
+++ b/internal/journal/write.go
@@ -72,6 +72,10 @@
 			b.DeleteWeak(termsKey(n))
 		}
 	}
+	if err := commit(maxRecordOverhead); err != nil {
+		return err
+	}
+	j.putTermsInForce(b, &j.buf)
 	for _, id := range j.changed {
 		more := maxRecordOverhead
 		if e := j.entries[id]; e != nil {
@@ -124,6 +128,7 @@
 	clear(j.dirtyWaits)
 	j.newEpoch = false
 	clear(j.dirtyTerms)
+	j.dirtyTermsInForce = false
 	clear(j.leftBacklog.dirty)
 	j.changed = j.changed[:0]
 	return nil
