Pass SIGHUP on to the process that takes over in an upgrade

Callers saw: a SIGHUP that reaches only the old process of an upgrade, right before or after the handover, is refused there ("the old configuration stands") or followed there alone. The new process, which may have read its file before that, went on with the configuration of its start until the next SIGHUP, so that a stricter effect was not followed.

Cause: the change of the configuration lived in the process that got the signal.

Evidence: TestReloadIsPassedOnToSuccessor fails on (no reload within 20 s), for a signal before and one after the handover.

The old process sends SIGHUP to the process that has taken over, once for those that it got in the 10 s before the handover and for each one after it. Each version of the program takes the signal; nothing of the handover's messages changes. A second SIGHUP with an unchanged file changes nothing.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -277,8 +277,9 @@
 }
 
 // serveSuccessors handles requests for a handover until a successor has taken over or ctx is done. If it can't listen,
-// no handover is possible, and the next process starts from the journal once this one has exited.
-func serveSuccessors(ctx context.Context, dir string, c *core.Core, log *slog.Logger) {
+// no handover is possible, and the next process starts from the journal once this one has exited. The reloads get to
+// know who has taken over.
+func serveSuccessors(ctx context.Context, dir string, c *core.Core, reloads *reloadRelay, log *slog.Logger) {
 	l, err := handover.Listen(dir)
 	if err != nil {
 		log.Warn("an upgrade will start from the journal", "err", err)
@@ -297,7 +298,9 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		pid := conn.PeerPID()
 		if serveSuccessor(conn, dir, c, log) {
+			reloads.handedOver(pid)
 			return
 		}
 	}
--- a/internal/daemon/overlap_test.go
+++ b/internal/daemon/overlap_test.go
@@ -86,7 +86,36 @@
 	}
 }
 
-// The same for a standalone daemon, upgraded or killed right after SIGHUP.
+// SIGHUP reaches only the old process of an upgrade: once it has handed over, or right before that, when the new process
+// may have read the file that was replaced. The new process must follow the new file; otherwise it went on with the
+// configuration of its start.
+func TestReloadIsPassedOnToSuccessor(t *testing.T) {
+	t.Run("after the handover", func(t *testing.T) {
+		t.Parallel()
+		x := startUpgradeScenario(t)
+		keep := dial(t, x.old.addr) // keeps the predecessor
+		next := x.upgrade()
+		x.p.EditSettings = func(settings string) string { return strings.Replace(settings, `"max_attempts":3`, `"max_attempts":2`, 1) }
+		if err := os.WriteFile(next.conf, configText(x.p, x.known), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		x.old.Signal(syscall.SIGHUP)
+		next.awaitLog("reload: settings")
+		keep.Conn.Close()
+		x.finish(next)
+	})
+	t.Run("before the handover", func(t *testing.T) {
+		t.Parallel()
+		x := startUpgradeScenario(t)
+		x.old.hup(configText(x.p, x.known))
+		x.old.awaitLog("reload: settings")
+		next := x.upgrade()
+		next.awaitLog("reload: settings")
+		x.finish(next)
+	})
+}
+
+// A standalone daemon keeps the overlap too when it is upgraded or killed right after SIGHUP.
 func TestOverlapOutlivesStandalone(t *testing.T) {
 	path, err := programPath()
 	if err != nil {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -37,6 +37,7 @@
 	life   *lifecycle.Controller
 	log    *slog.Logger
 
+	reloads reloadRelay
 	monitor *permit.Monitor
 }
 
@@ -64,7 +65,8 @@
 		cfg.InitialList.Generation = takeover.Snapshot.ListVersion
 	}
 	monitor := permit.NewMonitor(log)
-	p := &Platform{cfg: cfg, monitor: monitor, log: log, life: life, sink: notices.New(cfg.Discovery, log)}
+	p := &Platform{cfg: cfg, monitor: monitor, log: log, life: life, sink: notices.New(cfg.Discovery, log),
+		reloads: reloadRelay{log: log}}
 	p.source = platform.New(platform.Options{Addr: cfg.Discovery, Known: cfg.InitialList, Poll: pollSettings(settings),
 		Seed: cfg.Seed, Log: log})
 	conf := core.Config{Name: cfg.Name, Settings: settings, Seed: cfg.Seed, Zones: cfg.Deployment.Zones}
@@ -115,7 +117,7 @@
 	go func() {
 		select {
 		case <-p.core.Ready():
-			serveSuccessors(work, dir, p.core, p.log)
+			serveSuccessors(work, dir, p.core, &p.reloads, p.log)
 		case <-work.Done():
 		}
 	}()
@@ -129,7 +131,8 @@
 	}
 }
 
-// followReloads loads and applies the configuration on each signal. An invalid one changes nothing.
+// followReloads loads and applies the configuration on each signal, or passes the signal on once another process has
+// taken over.
 func (p *Platform) followReloads(ctx context.Context, signals <-chan os.Signal, load func() (*config.Platform, error)) {
 	select { // wait until the listener's address is known and the journal is replayed
 	case <-p.core.Ready():
@@ -143,26 +146,33 @@
 			return
 		case <-signals:
 		}
-		cfg, err := load()
-		if err == nil {
-			err = p.cfg.CheckReload(cfg)
-		}
-		if err == nil {
-			err = p.core.UpdateSettings(cfg.Deployment.Settings, cfg.Deployment.Zones)
-		}
-		if err != nil {
-			p.log.Error("reload: the old configuration stands", "err", err)
-			continue
-		}
-		p.cfg = cfg
-		p.saveConfig()
-		p.log.Info("reload: settings", "classes", len(cfg.Deployment.Settings.Classes), "attempts", cfg.Deployment.Settings.MaxTries)
-		p.sink.SetAddress(cfg.Discovery)
-		p.source.UpdateSettings(pollSettings(cfg.Deployment.Settings))
-		if p.source.SetAddress(cfg.Discovery) {
-			p.log.Info("reload: discovery address changed", "to", cfg.Discovery)
-		} else {
-			p.log.Info("reload: discovery address unchanged", "addr", cfg.Discovery)
+		if !p.reloads.received() {
+			p.reload(load)
 		}
 	}
 }
+
+// reload applies the configuration that load returns. An invalid one changes nothing.
+func (p *Platform) reload(load func() (*config.Platform, error)) {
+	cfg, err := load()
+	if err == nil {
+		err = p.cfg.CheckReload(cfg)
+	}
+	if err == nil {
+		err = p.core.UpdateSettings(cfg.Deployment.Settings, cfg.Deployment.Zones)
+	}
+	if err != nil {
+		p.log.Error("reload: the old configuration stands", "err", err)
+		return
+	}
+	p.cfg = cfg
+	p.saveConfig()
+	p.log.Info("reload: settings", "classes", len(cfg.Deployment.Settings.Classes), "attempts", cfg.Deployment.Settings.MaxTries)
+	p.sink.SetAddress(cfg.Discovery)
+	p.source.UpdateSettings(pollSettings(cfg.Deployment.Settings))
+	if p.source.SetAddress(cfg.Discovery) {
+		p.log.Info("reload: discovery address changed", "to", cfg.Discovery)
+	} else {
+		p.log.Info("reload: discovery address unchanged", "addr", cfg.Discovery)
+	}
+}
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -38,6 +38,7 @@
 	fronts  []core.Front
 	life    *lifecycle.Controller
 	monitor *permit.Monitor
+	reloads reloadRelay
 	log     *slog.Logger
 }
 
@@ -84,7 +85,8 @@
 // assemble makes a daemon from its file, its cluster (nil if there is none), and the dependencies that exist already,
 // to which it adds the others.
 func assemble(f *config.File, peers *cluster.Cluster, deps core.Dependencies) (*Standalone, error) {
-	s := &Standalone{file: f, cluster: peers, life: deps.Lifecycle, monitor: deps.Monitor, log: deps.Log}
+	s := &Standalone{file: f, cluster: peers, life: deps.Lifecycle, monitor: deps.Monitor, log: deps.Log,
+		reloads: reloadRelay{log: deps.Log}}
 	list, log := f.EndpointList(s.currentShare()), deps.Log
 	s.source = static.New(list)
 	files := store.MaxOpenFiles(int64(f.Limits.DiskMB)*1e6) + maxBacklogFiles(f)
@@ -178,7 +180,7 @@
 	go func() {
 		select {
 		case <-s.core.Ready():
-			serveSuccessors(work, dir, s.core, s.log)
+			serveSuccessors(work, dir, s.core, &s.reloads, s.log)
 		case <-work.Done():
 		}
 	}()
@@ -199,7 +201,9 @@
 			case <-work.Done():
 				return
 			case <-reload:
-				s.reload(load)
+				if !s.reloads.received() {
+					s.reload(load)
+				}
 			case <-shareChanged:
 				s.source.Set(s.file.EndpointList(s.currentShare()))
 			}
