Change settings at SIGHUP in the soak, in rows and beside kills and upgrades

The kind "terms" draws up to four changes of classes, effects and attempts in a row, some of them unchanged files, 50 to 700 ms apart, then nothing, SIGKILL (once or twice), SIGTERM, an upgrade, or an upgrade with SIGHUP to both processes, sometimes 2 ms behind the last SIGHUP. Keys are always given, so that each class may become keyed. The judge takes the effect of a message from what the harness wrote and signalled: new terms bind 1.2 s after SIGHUP, each for itself; and no message has more calls than its attempts.

Both faults of the review are planted ones.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -105,14 +105,14 @@
 // compose returns a random message and the text of its request. The message is not recorded before
 // [clients.write].
 func (c *clients) compose(kind string, rng *rand.Rand) (m *Message, text []byte) {
-	effect := []Effect{Safe, Keyed, Unsafe}[rng.IntN(3)]
+	class := classes[rng.IntN(len(classes))]
 	lifetime := []time.Duration{400 * time.Millisecond, time.Second,
 		2500 * time.Millisecond, 4 * time.Second}[rng.IntN(4)] +
 		time.Duration(rng.IntN(400))*time.Millisecond
-	m = &Message{ID: fmt.Sprintf("s%d-%s-%d", c.sender, kind, c.messageCount.Add(1)), Sender: c.sender, Effect: effect,
+	m = &Message{ID: fmt.Sprintf("s%d-%s-%d", c.sender, kind, c.messageCount.Add(1)), Sender: c.sender, Class: class,
 		ClientKind: kind, lifetime: lifetime}
 	opts := fmt.Sprintf("c=%s,t=acme,d=%d,k=k-%s,dest=%d",
-		effect, lifetime.Milliseconds(), m.ID, rng.IntN(c.destinationCount))
+		class, lifetime.Milliseconds(), m.ID, rng.IntN(c.destinationCount))
 	body := "body of " + m.ID
 	if rng.IntN(20) == 0 {
 		body = strings.Repeat("x", 5000)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -38,6 +38,7 @@
 	discoveryMoves  int                  // moves of its discovery to another address so far
 	knownGeneration int64                // generation of discovery's list in its configuration
 	listInterval    time.Duration        // ask_every_s of the settings
+	terms           terms                // in its configuration; guarded by restartMu
 	controls        *faultbuild.Controls // turn faults of its processes on and off
 	tracePath       string               // file in which its processes trace their connections
 	records         *Records
@@ -100,24 +101,20 @@
 }
 
 // settings is the format of the settings of a sender's deployment, in JSON. Its arguments are the number of
-// senders, the number of this sender, the membership mode, repeatWindow in seconds and the interval in
-// seconds within which the list is requested again. The window in which repeats are recognized is short, so
-// that runs pass its end.
+// senders, the number of this sender, the membership mode, the classes, the number of attempts and the
+// interval in seconds within which the list is requested again.
 const settings = `{"balancers":%d,"me":%d,"zone":0,"zones":["a","b"],"tick_s":0.005,"membership_mode":%q,
 "weights":"nominal","over_share_worth":0.2,"machine_types":["std"],
-"classes":[
-{"name":"safe","aim_s":1,"deadline_s":5,"worth":1,"late_worth":0.4,"idempotency":"retryable","group":"all","window_s":2},
-{"name":"keyed","aim_s":1,"deadline_s":5,"worth":1,"late_worth":0.4,"idempotency":"dedup","group":"all","window_s":%g},
-{"name":"unsafe","aim_s":1,"deadline_s":5,"worth":1,"late_worth":0.4,"idempotency":"fragile","group":"all","window_s":2}],
+"classes":%s,
 "tenants":[{"name":"acme","quota_rps":1000}],
-"limits":{"conn_idle_s":4,"connect_timeout_s":1.5,"max_attempts":4,"max_open":120,"max_retry_after_s":1,"multiplex":1,
+"limits":{"conn_idle_s":4,"connect_timeout_s":1.5,"max_attempts":%d,"max_open":120,"max_retry_after_s":1,"multiplex":1,
 "may_cancel":true,"probing":true,"retry_after":true,"second_copies":false},
 "load_info":{"how":"off","names":[]},
 "rules":{"ask_every_s":%g,"cold_from":0.2,"drain_grace_s":2,"fall_multiple":2,"fall_s":3,"warm_after_s":4},
 "specifics":{"batch_by_kind":[1],"call_slots":16,"late":"halves","separate_routes":[false]}}`
 
 // repeatWindow is how long endpoints recognize repeats of a keyed message, from its first call that ran. A
-// call that runs later takes effect again, which the judge reports.
+// call that runs later takes effect again, which the judge reports. It is short, so that runs pass its end.
 const repeatWindow = 2 * time.Second
 
 // writeConfig writes the sender's configuration with the current list and the current address of discovery,
@@ -129,12 +126,16 @@
 		mode = "pushed"
 	}
 	known := s.platform.currentList()
+	classes, err := s.terms.classSettings()
+	if err != nil {
+		return err
+	}
 	b, err := json.Marshal(map[string]any{"name": fmt.Sprint("n", s.number), "listen": s.addr,
 		"discovery": s.platformServer.addr,
 		"seed":      fmt.Sprintf("%x", rand.Uint64()),
 		"limits":    senderLimits, "known": known,
-		"settings": json.RawMessage(fmt.Sprintf(settings, senders, s.number, mode,
-			repeatWindow.Seconds(), s.listInterval.Seconds()))})
+		"settings": json.RawMessage(fmt.Sprintf(settings, senders, s.number, mode, classes, s.terms.attempts,
+			s.listInterval.Seconds()))})
 	if err != nil {
 		return err
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -67,6 +67,11 @@
 			continue // no rule applies to such a message after this
 		}
 		r.judgeEnd(&out, m, noise, add)
+		attempts := 0
+		if effect, most, ok := r.bindingTerms(m); ok {
+			m.Effect, attempts = effect, most
+		}
+		judgeAttempts(m, attempts, add)
 		judgeCalls(m, r.stalls[m.Sender], window, noise, add)
 		r.lists.judgeDrain(m, noise, add)
 	}
--- a/internal/soak/plant.go
+++ b/internal/soak/plant.go
@@ -82,6 +82,14 @@
 		{File: "internal/source/platform/follow.go", Old: "	f.publish(core.EndpointUpdate{List: r.list.EndpointList(),", New: "	r.list, planted = planted, r.list\n	f.publish(core.EndpointUpdate{List: r.list.EndpointList(),"},
 		{File: "internal/source/platform/follow.go", Old: "// now returns the time on", New: "var planted List\n\n// now returns the time on"},
 	}, Faults: aboutLists},
+	// Replaced settings stop binding at the next change of the settings.
+	{Name: "overlap ended by a second change", Changes: []faultbuild.Change{
+		{File: "internal/core/terms.go", Old: "	overlap := c.overlap.bindingAt(now)\n	if !haveEqual", New: "	overlap := settingsInOverlap{}\n	if !haveEqual"},
+	}, Faults: aboutTerms},
+	// Replaced settings stop binding when the process ends.
+	{Name: "overlap lost with the process", Changes: []faultbuild.Change{
+		{File: "internal/core/core.go", Old: "	overlap := overlapAtStart(deps.Store.TermsInForce(), cfg.Settings, deps.Store.Clock().Now())", New: "	overlap := settingsInOverlap{}"},
+	}, Faults: aboutTerms},
 	// Connections to clients are shut down at their end, and their descriptors are kept.
 	{Name: "descriptor of an ended connection", Changes: []faultbuild.Change{
 		{File: clientConnections, Old: "			s.serve()\n			conn.Close()",
@@ -101,5 +109,8 @@
 // module.
 const pacing = "internal/source/platform/poll/pace.go"
 
+// aboutTerms are the kinds of faults that reveal terms that are not kept.
+var aboutTerms = []string{"endpoint", "terms"}
+
 // aboutLists are the kinds of faults that reveal a list that is ignored, wrong or late.
 var aboutLists = []string{"endpoint", "discovery", "drain", "restart", "kill series", "move", "stall"}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -10,9 +10,9 @@
 	"cometrack/internal/standin/faultbuild"
 )
 
-// Effect says what a repeated delivery of a message does. It is drawn for each message, whatever its
-// destination, and determines the class in which the message is submitted and how often it may run: Safe
-// any number of times, Keyed again only within repeatWindow of the first time, Unsafe once.
+// Effect says what a repeated delivery of a message does, and how often the message may run: Safe any number of
+// times, Keyed again only within repeatWindow of the first time, Unsafe once. It is that of the message's class
+// in the settings that bind when the message is written.
 type Effect string
 
 // The effects, named as the classes that have them in the settings.
@@ -50,8 +50,9 @@
 // Message is the history of one message, as its client, the endpoints and the platform observed it.
 type Message struct {
 	ID          string
-	Sender      int // number of the sender
-	Effect      Effect
+	Sender      int       // number of the sender
+	Class       Effect    // named as its effect in the settings of the first start
+	Effect      Effect    // set by the judge
 	ClientKind  string    // kind of the client that submitted it
 	FirstOnConn bool      // it was the first request on its connection
 	WrittenAt   time.Time // when its client began to write the last byte of the request
@@ -82,8 +83,8 @@
 func (m *Message) History(start time.Time) string {
 	since := func(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(start).Seconds()) }
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s at sender %d, %s, %s client, first on its connection %v: written %s, deadline %s, answer %q",
-		m.ID, m.Sender, m.Effect, m.ClientKind, m.FirstOnConn,
+	fmt.Fprintf(&b, "%s at sender %d, class %s, %s, %s client, first on its connection %v: written %s, deadline %s, answer %q",
+		m.ID, m.Sender, m.Class, m.Effect, m.ClientKind, m.FirstOnConn,
 		since(m.WrittenAt), since(m.Deadline), m.Answer)
 	if !m.AnsweredAt.IsZero() {
 		fmt.Fprintf(&b, " at %s", since(m.AnsweredAt))
@@ -116,6 +117,7 @@
 	kills           map[int][]time.Time              // times of SIGKILL and of the exits after it, by sender
 	outages         map[int][]Interval               // by sender: from a restart's signal until it is ready
 	stalls          map[int][]Interval               // by sender: while its process was held
+	terms           map[int][]termsChange            // by sender, in the order of the changes
 	waits           map[route]Interval               // the last requested wait of each route
 	traces          map[int][]*faultbuild.Connection // traces of client connections, by sender
 	lists           *listRecords                     // published lists and which sender received them
@@ -130,7 +132,7 @@
 func newRecords() *Records {
 	return &Records{lists: newLists(), messages: map[string]*Message{}, waits: map[route]Interval{},
 		kills: map[int][]time.Time{}, outages: map[int][]Interval{},
-		traces: map[int][]*faultbuild.Connection{}, stalls: map[int][]Interval{}}
+		terms: map[int][]termsChange{}, traces: map[int][]*faultbuild.Connection{}, stalls: map[int][]Interval{}}
 }
 
 // addMessage records a message, which has to be done before its request is written.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -153,7 +153,9 @@
 	s := &sender{number: i, addr: address(o.Seed, i, clientPort), listInterval: listInterval,
 		dir:        filepath.Join(o.Dir, fmt.Sprint("state-", i)),
 		configPath: filepath.Join(o.Dir, fmt.Sprintf("config-%d.json", i)),
-		binary:     o.Binary, platform: f.platform, records: f.records, loseFolder: o.LoseFolder}
+		binary:     o.Binary, platform: f.platform, records: f.records, loseFolder: o.LoseFolder,
+		terms: initialTerms()}
+	f.records.addTerms(i, termsChange{terms: s.terms})
 	var err error
 	if s.platformServer, err = f.platform.listen(i, platformAddress(o.Seed, i, 0)); err != nil {
 		return nil, err
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -44,9 +44,11 @@
 //   - "stall": a sender's process is held now and then before it writes to a connection
 //   - "drain": an endpoint is draining or unlisted for a while
 //   - "late": connects of a sender are delayed for a while
+//   - "terms": a sender's classes, effects and number of attempts change by SIGHUP, up to four times in a row, and
+//     the sender may be killed, stopped or upgraded right after it
 //   - "move": discovery of a sender moves to another address, up to three times in a row
 var faultKinds = []string{"endpoint", "connections", "discovery", "notices", "restart", "kill series", "reload", "clock",
-	"disk", "accept", "connect", "stall", "drain", "late", "move"}
+	"disk", "accept", "connect", "stall", "drain", "late", "move", "terms"}
 
 // script draws the faults of a run and returns their steps, not in the order of time.
 func (f *fleet) script(o Options) []step {
@@ -80,7 +82,7 @@
 		return 2 + rng.IntN(len(f.endpoints))
 	case "move":
 		return rng.IntN(len(f.senders)/3 + 1)
-	case "clock", "stall", "late":
+	case "clock", "stall", "late", "terms":
 		return len(f.senders)
 	}
 	return len(f.senders)/3 + 1
@@ -180,6 +182,8 @@
 				func() { f.goRestart(func() error { return f.moveDiscovery(s) }) }})
 		}
 		return steps
+	case "terms":
+		return f.drawTermsFault(s, at, rng)
 	case "drain":
 		lifecycle := []string{"draining", "draining", unlisted}[rng.IntN(3)]
 		// Half of them last longer than a sender may take to learn of the change.
