Keep the terms of messages in the backlog at a start with other settings

Such a message goes by the present class of its name, and an unsafe one whose class has become safe is sent again after it may have run.

Evidence: TestTermsOfBacklogOutliveRestart fails on ("b is sent again"). Since terms are dropped at a start only beyond the limit of sets; now never, and a start does not fail for the limit either, since a process that can't start is worse than a few sets more.

--- a/internal/core/backlog_test.go
+++ b/internal/core/backlog_test.go
@@ -92,6 +92,41 @@
 	r.shutDown()
 }
 
+// A message in the backlog is the only one that was accepted under its terms, and the process is started with others. The
+// terms must not be dropped before the backlog is open: an unsafe message would run twice.
+func TestTermsOfBacklogOutliveRestart(t *testing.T) {
+	t.Parallel()
+	dir, cfg, fs := t.TempDir(), testConfig(), vfs.NewMem()
+	cfg.Settings = settingsWith(cfg, 3, "x unsafe")
+	r := newRig(t, dir, cfg, withBacklog(fs)).run()
+	r.submitAccepted(newMessage("a", "x"))
+	r.nextAttempt("a")
+	if err := r.UpdateSettings(settingsWith(cfg, 3, "x unsafe", "y unsafe"), cfg.Zones); err != nil {
+		t.Fatal(err)
+	}
+	r.submitAccepted(newMessage("b", "y"))
+	r.crash()
+	cfg.Settings = settingsWith(cfg, 3, "x unsafe", "y safe")
+	r = newRig(t, dir, cfg, withBacklog(fs.Restart(vfs.LoseNone, nil))).run()
+	if end := byhand.Await(t, r.fakeSink.added, "end of a: it may have run"); end.ID != "a" || end.State != message.Failed {
+		t.Errorf("end %+v", end)
+	}
+	r.nextAttempt("b").result <- Result{Outcome: logic.ConnectionBroken}
+	select {
+	case end := <-r.fakeSink.added:
+		if end.ID != "b" || end.State != message.Failed {
+			t.Errorf("end %+v", end)
+		}
+	case attempt := <-r.fakeTransport.attempts:
+		t.Fatalf("%s is sent again", attempt.Message.ID)
+	case <-time.After(byhand.Timeout):
+		t.Fatal("b has no end")
+	}
+	r.fakeSink.confirm <- "a"
+	r.fakeSink.confirm <- "b"
+	r.shutDown()
+}
+
 // A message that can't be written to the journal when it enters its window is put back and enters it later, once.
 func TestRefillIsRetriedAfterJournalFailure(t *testing.T) {
 	t.Parallel()
--- a/internal/journal/terms.go
+++ b/internal/journal/terms.go
@@ -45,8 +45,8 @@
 const maxTermsBytes = 64 << 10
 
 // numberTerms returns the number of stored terms that equal t. If there are none, it adds t to the
-// stored terms, under a new number.
-func (j *Journal) numberTerms(t Terms) (int64, error) {
+// stored terms, under a new number, unless there are maxStored of them already.
+func (j *Journal) numberTerms(t Terms, maxStored int) (int64, error) {
 	for _, x := range j.terms {
 		if x.Equal(&t) {
 			return x.Number, nil
@@ -56,7 +56,7 @@
 		return 0, fmt.Errorf("journal: the classes take %d bytes, over the limit of %d bytes",
 			size, maxTermsBytes-maxRecordOverhead)
 	}
-	if len(j.terms) >= maxTerms+maxTermsInForce {
+	if len(j.terms) >= maxStored {
 		return 0, fmt.Errorf("journal: pending messages refer to %d different sets of classes, which is the limit",
 			len(j.terms))
 	}
--- a/internal/journal/terms_in_force.go
+++ b/internal/journal/terms_in_force.go
@@ -53,25 +53,30 @@
 }
 
 // SetTermsInForce sets the terms that bind new messages from now on, and returns the number of those under which the
-// messages are accepted. The next Append writes them, before the messages that refer to them. After an error the same terms
-// as before are in force.
+// messages are accepted. The next Append writes them, before the messages that refer to them. It fails if there are too
+// many terms, and the same ones as before are then in force. The first call after [Open] never fails for that: a process
+// has to start, and which terms the messages outside the journal have is not known yet.
 func (j *Journal) SetTermsInForce(inForce TermsInForce) (accepting int64, err error) {
-	if len(j.terms)+len(inForce.Superseded)+2 > maxTerms+maxTermsInForce {
+	maxStored := math.MaxInt
+	if len(j.acceptingTerms) > 0 {
+		maxStored = maxTerms + maxTermsInForce
+	}
+	if len(j.terms)+len(inForce.Superseded)+2 > maxStored {
 		j.dropTerms()
 	}
 	earlier := j.termsInForce
 	var record termsInForceRecord
 	for _, x := range inForce.Superseded {
-		n, err := j.numberTerms(x.Terms)
+		n, err := j.numberTerms(x.Terms, maxStored)
 		if err != nil {
 			return 0, err
 		}
 		record.Superseded = append(record.Superseded, supersededRecord{n, x.BindUntil})
 	}
-	if record.Configured, err = j.numberTerms(inForce.Configured); err != nil {
+	if record.Configured, err = j.numberTerms(inForce.Configured, maxStored); err != nil {
 		return 0, err
 	}
-	if accepting, err = j.numberTerms(inForce.Accepting); err != nil {
+	if accepting, err = j.numberTerms(inForce.Accepting, maxStored); err != nil {
 		return 0, err
 	}
 	record.Newest = j.lastTermsNumber
