--- a/internal/config/keys.go
+++ b/internal/config/keys.go
@@ -92,7 +92,7 @@
 	for _, x := range []struct {
 		field string
 		n     float64
-	}{{"settings.limits.max_attempts", float64(settings.MaxTries)},
+	}{{"settings.limits.max_attempts", float64(settings.MaxAttempts)},
 		{"settings.limits.max_open", float64(settings.MaxOpen)},
 		{"settings.specifics.call_slots", float64(settings.Slots)}, {"limits.memory_mb", next.Limits.MemoryMB},
 		{"limits.sockets", float64(next.Limits.Sockets)}, {"limits.disk_mb", next.Limits.DiskMB}} {
--- a/internal/config/keys_test.go
+++ b/internal/config/keys_test.go
@@ -132,12 +132,12 @@
 	short := strings.Replace(current, `"max_attempts":3,`, "", 1)
 	for _, bad := range []string{"", current[:len(current)-1], short, strings.Replace(current, `"deadline_s":16`, `"deadline_s":-1`, 1)} {
 		cfg, reason, err := start(bad)
-		if err != nil || reason == nil || cfg.Deployment.Settings.MaxTries != 3 || cfg.Console != "127.0.0.1:7" {
+		if err != nil || reason == nil || cfg.Deployment.Settings.MaxAttempts != 3 || cfg.Console != "127.0.0.1:7" {
 			t.Errorf("%.60q: %+v, %v, %v", bad, cfg, reason, err)
 		}
 	}
 	cfg, reason, err = start(strings.Replace(current, `"max_attempts":3`, `"max_attempts":9`, 1))
-	if err != nil || reason != nil || cfg.Deployment.Settings.MaxTries != 9 {
+	if err != nil || reason != nil || cfg.Deployment.Settings.MaxAttempts != 9 {
 		t.Errorf("a good file: %+v, %v, %v", cfg, reason, err)
 	}
 	long := strings.Replace(current, `"name":"n0"`, `"name":"`+strings.Repeat("n", maxSavedBytes)+`"`, 1)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -29,7 +29,7 @@
 // the quota whatever the other senders do.
 func (f *File) Settings() logic.Settings {
 	s := logic.Settings{Senders: 1, Zones: len(f.Zones), Slots: f.Limits.Slots, MaxOpen: f.Limits.OpenMessages,
-		MaxTries: f.Limits.Attempts, Tick: logic.Micros(time.Millisecond / time.Microsecond), ListOnRequest: true, MayCancel: true,
+		MaxAttempts: f.Limits.Attempts, Tick: logic.Micros(time.Millisecond / time.Microsecond), ListOnRequest: true, MayCancel: true,
 		AdviseRetry: true, ExponentialDecay: true, TrackChanges: true, Weights: logic.WeightsNominal, BurstTime: logic.Micros(burstTime / time.Microsecond),
 		ConnIdle: micros(f.Transport.HTTP.Idle), ConnCalls: 1, MaxRetryAfter: micros(f.Limits.RetryAfter), OverQuotaWorth: 0.2,
 		DrainGrace: micros(f.Rules.DrainGrace), FallMultiple: f.Rules.FallMultiple, FallWindow: micros(f.Rules.FallWindow),
--- a/internal/core/backlog.go
+++ b/internal/core/backlog.go
@@ -252,14 +252,11 @@
 	}
 	now := c.clock.Now()
 	m := &r.Message
-	p := &pendingMessage{msg: m, acceptedAt: r.Accepted, termsNumber: r.Terms, class: c.terms.class(r.Class)}
 	event := c.newMessageEvent(m, now)
-	if r.Terms != c.terms.number {
-		if event.Terms = classTerms(c.store.Terms(r.Terms), r.Class); event.Terms != nil {
-			p.class = &event.Terms.Class
-		}
-	}
-	if p.class == nil {
+	class, stored := c.storedClass(r.Terms, r.Class)
+	event.Terms = stored
+	p := &pendingMessage{msg: m, acceptedAt: r.Accepted, termsNumber: r.Terms, class: class}
+	if class == nil {
 		c.log.Error("the class of a message in the backlog is not configured; the message is returned",
 			"id", r.ID, "class", r.Class)
 		c.backlog.LeaveWindow(refilled.Partner)
--- a/internal/core/check.go
+++ b/internal/core/check.go
@@ -25,7 +25,7 @@
 // Deadline returns the time within which messages of a class must be delivered if the client sets no deadline. It
 // returns false if there is no such class.
 func (c *Core) Deadline(class string) (time.Duration, bool) {
-	x := c.clientTerms.Load().class(class)
+	x := c.configuredTerms.Load().class(class)
 	if x == nil {
 		return 0, false
 	}
@@ -51,7 +51,7 @@
 			return fieldError(f.field, "holds what is not visible ASCII")
 		}
 	}
-	current := c.clientTerms.Load()
+	current := c.configuredTerms.Load()
 	class := current.class(m.Class)
 	if class == nil {
 		return fieldError("class", "unknown class")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,26 +96,26 @@
 
 // Core runs the message processing of one sender: its loop owns the scheduler and all pending messages.
 type Core struct {
-	cfg          Config
-	reopenStore  func() (Store, error)
-	allowedShare func() float64
-	peers        Peers // nil for none
-	takeover     *Takeover
-	clientTerms  atomic.Pointer[terms] // the terms that new messages are checked against
-	log          *slog.Logger
-	monitor      *permit.Monitor
-	metrics      Metrics
-	clock        *clock.Clock // for all times that outlive the process
-	store        Store
-	transport    Transport
-	source       Source
-	sink         EndSink
-	lifecycle    *lifecycle.Controller
-	scheduler    *logic.Sender
-	newBacklog   func(Store, func(any, <-chan struct{})) (Backlog, error)
-	events       chan any
-	done         chan struct{} // closed when the loop has ended
-	ready        chan struct{} // closed once clients are served
+	cfg             Config
+	reopenStore     func() (Store, error)
+	allowedShare    func() float64
+	peers           Peers // nil for none
+	takeover        *Takeover
+	configuredTerms atomic.Pointer[terms] // those of the current settings, against which new messages are checked
+	log             *slog.Logger
+	monitor         *permit.Monitor
+	metrics         Metrics
+	clock           *clock.Clock // for all times that outlive the process
+	store           Store
+	transport       Transport
+	source          Source
+	sink            EndSink
+	lifecycle       *lifecycle.Controller
+	scheduler       *logic.Sender
+	newBacklog      func(Store, func(any, <-chan struct{})) (Backlog, error)
+	events          chan any
+	done            chan struct{} // closed when the loop has ended
+	ready           chan struct{} // closed once clients are served
 
 	// The fields below are used by the loop only.
 	directory       *directory
@@ -171,7 +171,7 @@
 		schedulerTimer: time.NewTimer(time.Hour),
 		pending:        map[string]*pendingMessage{}, newMessages: map[string]*message.Message{},
 		watchers: map[string][]chan State{}}
-	c.clientTerms.Store(newTerms(cfg.Settings))
+	c.configuredTerms.Store(newTerms(cfg.Settings))
 	if len(overlap) > 0 {
 		c.log.Info("settings of an earlier process still bind new messages", "sets", len(overlap))
 	}
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -105,7 +105,7 @@
 			c.storeMu.Lock()
 			c.store = store
 			c.storeMu.Unlock()
-			if err := c.setTermsInForce(c.terms, c.clientTerms.Load().settings, c.overlap); err != nil {
+			if err := c.setTermsInForce(c.terms, c.configuredTerms.Load().settings, c.overlap); err != nil {
 				c.log.Error("settings", "err", err)
 			}
 			if err := c.openBacklog(); err != nil {
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -164,7 +164,7 @@
 	return Config{Name: "t", Zones: []string{"a", "b"}, NotifyDelivered: true,
 		CachedEndpoints: &EndpointList{Complete: true, Endpoints: []Endpoint{{Name: "e1", Addr: "h:1", Zone: "a",
 			Kind: "std", Partner: "acme", Weight: 1000}}},
-		Settings: logic.Settings{Senders: 1, Zones: 2, Slots: 8, MaxOpen: 8, MaxTries: 3, Tick: 1000, MayCancel: true,
+		Settings: logic.Settings{Senders: 1, Zones: 2, Slots: 8, MaxOpen: 8, MaxAttempts: 3, Tick: 1000, MayCancel: true,
 			AdviseRetry: true, MaxRetryAfter: 2 * logic.Second, Weights: logic.WeightsNominal,
 			ConnIdle: 10 * logic.Second, ConnCalls: 1, ExponentialDecay: true, DrainGrace: 2 * logic.Second,
 			FallMultiple: 2, FallWindow: 3 * logic.Second, ColdFrom: 0.2, WarmAfter: 14 * logic.Second,
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cometrack/internal/backlog/disk"
+	"cometrack/internal/handover"
 	"cometrack/internal/journal"
 	"cometrack/internal/message"
 	"cometrack/internal/permit"
@@ -167,15 +168,7 @@
 	}
 	now := c.clock.Now()
 	if c.cfg.PersistWaits {
-		for name, until := range c.store.Waits() {
-			if id, ok := c.directory.endpointIDs[name]; ok {
-				c.nextEvents = append(c.nextEvents,
-					logic.RequestedWait{Endpoint: id, Remaining: logic.Micros(until - now)})
-				if left := time.Duration(until-now) * time.Microsecond; left > 0 { // peers may not know of it
-					c.publishObservation(Observation{RequestedWait: left}, id)
-				}
-			}
-		}
+		c.restoreWaits(now)
 	}
 	if c.cfg.Settings.TrackChanges {
 		c.savedPartners = c.store.Partners()
@@ -187,35 +180,10 @@
 			c.notifySink(&entry.Message, *entry.End)
 			continue
 		}
-		event := c.newMessageEvent(&entry.Message, now)
-		p := &pendingMessage{msg: &entry.Message, acceptedAt: entry.AcceptedAt, attempts: entry.Attempts,
-			bodyInStore: entry.StoredBodySize > 0, termsNumber: entry.Terms, class: c.terms.class(entry.Class)}
-		if entry.Terms != c.terms.number {
-			if event.Terms = classTerms(c.store.Terms(entry.Terms), entry.Class); event.Terms != nil {
-				p.class = &event.Terms.Class
-			}
-		}
-		c.pending[entry.ID] = p
-		c.pendingCount++
-		event.History = logic.History{Attempts: entry.Attempts, MayHaveRun: entry.MayHaveRun || entry.InFlight,
-			Inherited: c.takeover == nil}
-		if event.History.MayHaveRun {
-			event.History.SinceFirst = logic.Micros(max(now-entry.MayHaveRunSince, 0))
-			event.History.Zone = slices.Index(c.cfg.Zones, entry.MayHaveRunZone)
-		}
-		if call, ok := inFlight[entry.ID]; ok && entry.InFlight {
-			c.adoptAttempt(p, call, &event, entry, now)
-			delete(inFlight, entry.ID)
-		} else if entry.InFlight { // the next reader of the journal must not attribute this outcome to a later attempt
-			c.records = append(c.records, journal.Record{Op: journal.OpOutcome, ID: entry.ID, MayHaveRun: true})
-		}
+		c.restoreMessage(entry, inFlight, now)
 		if c.cfg.CachedEndpoints != nil && !c.directory.hasEndpoint(entry.Partner) {
 			orphans[entry.Partner]++
 		}
-		if p.class == nil {
-			c.log.Error("the class of a pending message is not configured", "id", entry.ID, "class", entry.Class)
-		}
-		c.nextEvents = append(c.nextEvents, event)
 	}
 	c.nextEvents = append(c.nextEvents, c.adoptEndedAttempts(inFlight)...)
 	for name, n := range orphans {
@@ -228,6 +196,48 @@
 	return c.confirmTakeover()
 }
 
+// restoreWaits passes the waits in the store to the scheduler and to the peers, which may not know of them.
+func (c *Core) restoreWaits(now int64) {
+	for name, until := range c.store.Waits() {
+		id, ok := c.directory.endpointIDs[name]
+		if !ok {
+			continue
+		}
+		c.nextEvents = append(c.nextEvents, logic.RequestedWait{Endpoint: id, Remaining: logic.Micros(until - now)})
+		if left := time.Duration(until-now) * time.Microsecond; left > 0 {
+			c.publishObservation(Observation{RequestedWait: left}, id)
+		}
+	}
+}
+
+// restoreMessage passes a pending message in the store, with its history, to the scheduler. If its attempt is among those
+// in flight in the predecessor, it adopts the attempt and removes it from inFlight.
+func (c *Core) restoreMessage(entry *journal.Entry, inFlight map[string]handover.Attempt, now int64) {
+	event := c.newMessageEvent(&entry.Message, now)
+	class, stored := c.storedClass(entry.Terms, entry.Class)
+	event.Terms = stored
+	if class == nil {
+		c.log.Error("the class of a pending message is not configured", "id", entry.ID, "class", entry.Class)
+	}
+	p := &pendingMessage{msg: &entry.Message, acceptedAt: entry.AcceptedAt, attempts: entry.Attempts,
+		bodyInStore: entry.StoredBodySize > 0, termsNumber: entry.Terms, class: class}
+	c.pending[entry.ID] = p
+	c.pendingCount++
+	event.History = logic.History{Attempts: entry.Attempts, MayHaveRun: entry.MayHaveRun || entry.InFlight,
+		Inherited: c.takeover == nil}
+	if event.History.MayHaveRun {
+		event.History.SinceFirst = logic.Micros(max(now-entry.MayHaveRunSince, 0))
+		event.History.Zone = slices.Index(c.cfg.Zones, entry.MayHaveRunZone)
+	}
+	if call, ok := inFlight[entry.ID]; ok && entry.InFlight {
+		c.adoptAttempt(p, call, &event, entry, now)
+		delete(inFlight, entry.ID)
+	} else if entry.InFlight { // the next reader of the journal must not attribute this outcome to a later attempt
+		c.records = append(c.records, journal.Record{Op: journal.OpOutcome, ID: entry.ID, MayHaveRun: true})
+	}
+	c.nextEvents = append(c.nextEvents, event)
+}
+
 // newMessageEvent returns the scheduler's event for a message.
 func (c *Core) newMessageEvent(m *message.Message, now int64) logic.NewMessage {
 	event := logic.NewMessage{ID: m.ID, Key: m.Order, Remaining: logic.Micros(m.Deadline - now),
--- a/internal/core/overlap_test.go
+++ b/internal/core/overlap_test.go
@@ -11,7 +11,7 @@
 
 // drawTerms draws settings of which each class may be missing.
 func drawTerms(t *rapid.T) logic.Settings {
-	settings := logic.Settings{MaxTries: rapid.IntRange(0, 5).Draw(t, "attempts")}
+	settings := logic.Settings{MaxAttempts: rapid.IntRange(0, 5).Draw(t, "attempts")}
 	for _, name := range []string{"a", "b"} {
 		if rapid.Bool().Draw(t, "has "+name) {
 			settings.Classes = append(settings.Classes, logic.Class{Name: name,
@@ -26,8 +26,8 @@
 
 // checkAsStrict checks that the terms of got are as strict as those of settings, for the classes of both.
 func checkAsStrict(t *rapid.T, got, settings logic.Settings) {
-	if settings.MaxTries > 0 && (got.MaxTries == 0 || got.MaxTries > settings.MaxTries) {
-		t.Fatalf("%d attempts, %d allowed", got.MaxTries, settings.MaxTries)
+	if settings.MaxAttempts > 0 && (got.MaxAttempts == 0 || got.MaxAttempts > settings.MaxAttempts) {
+		t.Fatalf("%d attempts, %d allowed", got.MaxAttempts, settings.MaxAttempts)
 	}
 	for _, class := range settings.Classes {
 		i := slices.IndexFunc(got.Classes, func(x logic.Class) bool { return x.Name == class.Name })
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -37,7 +37,7 @@
 
 // journalTerms returns the terms in the form that is stored in the journal.
 func (t *terms) journalTerms() journal.Terms {
-	out := journal.Terms{MaxAttempts: t.settings.MaxTries}
+	out := journal.Terms{MaxAttempts: t.settings.MaxAttempts}
 	for _, c := range t.settings.Classes {
 		out.Classes = append(out.Classes, journal.ClassTerms{Name: c.Name, Aim: int64(c.Aim),
 			Deadline: int64(c.Deadline), Worth: c.Worth, LateWorth: c.LateWorth, Effect: uint8(c.Effect),
@@ -53,12 +53,24 @@
 	}
 	for _, c := range t.Classes {
 		if c.Name == class {
-			return &logic.Terms{MaxTries: t.MaxAttempts, Class: classFromJournal(c)}
+			return &logic.Terms{MaxAttempts: t.MaxAttempts, Class: classFromJournal(c)}
 		}
 	}
 	return nil
 }
 
+// storedClass returns the class of a stored message in the terms with a number, under which the message was accepted. If
+// these are not the ones under which messages are accepted now, the scheduler needs them too; otherwise stored is nil. The
+// class is nil if neither the stored nor the current terms have it.
+func (c *Core) storedClass(number int64, name string) (class *logic.Class, stored *logic.Terms) {
+	if number != c.terms.number {
+		if stored = classTerms(c.store.Terms(number), name); stored != nil {
+			return &stored.Class, stored
+		}
+	}
+	return c.terms.class(name), nil
+}
+
 func classFromJournal(c journal.ClassTerms) logic.Class {
 	return logic.Class{Name: c.Name, Aim: logic.Micros(c.Aim), Deadline: logic.Micros(c.Deadline), Worth: c.Worth,
 		LateWorth: c.LateWorth, Effect: logic.Effect(c.Effect), ByZone: c.ByZone, Window: logic.Micros(c.Window),
@@ -67,7 +79,7 @@
 
 // settingsFromJournal returns settings with the classes and the number of attempts of stored terms.
 func settingsFromJournal(t journal.Terms) logic.Settings {
-	settings := logic.Settings{MaxTries: t.MaxAttempts}
+	settings := logic.Settings{MaxAttempts: t.MaxAttempts}
 	for _, c := range t.Classes {
 		settings.Classes = append(settings.Classes, classFromJournal(c))
 	}
@@ -113,7 +125,7 @@
 // replaceSettings carries out [Core.UpdateSettings] in the loop. The settings that it replaces bind for another
 // settingsOverlap beside the new ones, and beside those that still bind from earlier updates.
 func (c *Core) replaceSettings(settings logic.Settings, zones []string) error {
-	current := c.clientTerms.Load().settings
+	current := c.configuredTerms.Load().settings
 	if err := logic.CheckUpdate(current, settings); err != nil {
 		return err
 	}
@@ -131,7 +143,7 @@
 		return err
 	}
 	c.directory.zones, c.directory.kinds = zones, settings.Kinds
-	c.clientTerms.Store(newTerms(settings))
+	c.configuredTerms.Store(newTerms(settings))
 	return nil
 }
 
@@ -162,7 +174,7 @@
 	if len(overlap) == len(c.overlap) { // posted for an earlier overlap
 		return
 	}
-	if err := c.applySettings(c.clientTerms.Load().settings, overlap); err != nil {
+	if err := c.applySettings(c.configuredTerms.Load().settings, overlap); err != nil {
 		c.scheduleOverlapEnd(sweepInterval)
 		return
 	}
--- a/internal/core/terms_test.go
+++ b/internal/core/terms_test.go
@@ -15,7 +15,7 @@
 // settingsWith returns the settings of cfg with other classes, each given as "name effect".
 func settingsWith(cfg Config, attempts int, classes ...string) logic.Settings {
 	settings := cfg.Settings
-	settings.MaxTries, settings.Classes = attempts, nil
+	settings.MaxAttempts, settings.Classes = attempts, nil
 	for _, c := range classes {
 		name, effect, _ := strings.Cut(c, " ")
 		class := logic.Class{Name: name, Aim: 2 * logic.Second, Deadline: 16 * logic.Second, Worth: 1, LateWorth: 0.4}
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -41,6 +41,6 @@
 func (c *Core) traceAccepted(event logic.NewMessage, partner string, class *logic.Class) {
 	if c.traceEnabled() {
 		c.log.Debug("taken", "id", event.ID, "partner", partner, "class", class.Name, "left", event.Remaining/1000,
-			"tenant", event.Tenant, "effect", class.Effect.String(), "most", c.terms.settings.MaxTries)
+			"tenant", event.Tenant, "effect", class.Effect.String(), "most", c.terms.settings.MaxAttempts)
 	}
 }
--- a/internal/daemon/overlap_test.go
+++ b/internal/daemon/overlap_test.go
@@ -95,7 +95,9 @@
 		x := startUpgradeScenario(t)
 		keep := dial(t, x.old.addr) // keeps the predecessor
 		next := x.upgrade()
-		x.p.EditSettings = func(settings string) string { return strings.Replace(settings, `"max_attempts":3`, `"max_attempts":2`, 1) }
+		x.p.EditSettings = func(settings string) string {
+			return strings.Replace(settings, `"max_attempts":3`, `"max_attempts":2`, 1)
+		}
 		if err := os.WriteFile(next.conf, configText(x.p, x.known), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -51,48 +51,64 @@
 		log.Debug("known", "ep", instance.ID, "partner", instance.Dest, "kind", instance.Kind, "zone", instance.Zone,
 			"weight", instance.Weight)
 	}
+	journalBytes := int64(cfg.Limits.DiskMB*1e6) - config.SavedSpaceBytes
 	open := func() (*journal.Journal, error) {
-		return journal.Open(cfg.StateDir, journal.Options{MaxBytes: int64(cfg.Limits.DiskMB*1e6) - config.SavedSpaceBytes,
-			MaxEnded: maxEnded, Sync: store.SyncNever, Log: log}) // writes survive the process; they need not survive the machine
+		return journal.Open(cfg.StateDir, journal.Options{MaxBytes: journalBytes, MaxEnded: maxEnded,
+			Sync: store.SyncNever, Log: log}) // writes survive the process; they need not survive the machine
 	}
 	opened, takeover, err := acquire(ctx, cfg.StateDir, open, log)
 	if err != nil {
 		return nil, err
 	}
 	limits := divideDescriptors(descriptorLimit(cfg.Limits.Sockets, log), settings.Slots,
-		store.MaxOpenFiles(int64(cfg.Limits.DiskMB*1e6)-config.SavedSpaceBytes), consoleDescriptors(cfg.Console))
+		store.MaxOpenFiles(journalBytes), consoleDescriptors(cfg.Console))
 	if takeover != nil {
 		cfg.InitialList.Generation = takeover.Snapshot.ListVersion
 	}
-	monitor := permit.NewMonitor(log)
-	p := &Platform{cfg: cfg, monitor: monitor, log: log, life: life, sink: notices.New(cfg.Discovery, log),
-		reloads: reloadRelay{log: log}}
+	p := &Platform{cfg: cfg, monitor: permit.NewMonitor(log), log: log, life: life,
+		sink: notices.New(cfg.Discovery, log), reloads: reloadRelay{log: log}}
 	p.source = platform.New(platform.Options{Addr: cfg.Discovery, Known: cfg.InitialList, Poll: pollSettings(settings),
 		Seed: cfg.Seed, Log: log})
-	conf := core.Config{Name: cfg.Name, Settings: settings, Seed: cfg.Seed, Zones: cfg.Deployment.Zones}
+	p.core, err = core.New(coreConfig(cfg), core.Dependencies{Store: opened, Source: p.source, Sink: p.sink, Log: log,
+		Transport: newPlatformTransport(cfg, limits), Lifecycle: life, Monitor: p.monitor, Takeover: takeover,
+		ReopenStore: func() (core.Store, error) { return open() }})
+	if err != nil {
+		opened.Close()
+		return nil, err
+	}
+	p.makeFront(limits)
+	return p, nil
+}
+
+// coreConfig returns the part of the configuration that the core uses.
+func coreConfig(cfg *config.Platform) core.Config {
+	out := core.Config{Name: cfg.Name, Settings: cfg.Deployment.Settings, Seed: cfg.Seed, Zones: cfg.Deployment.Zones}
 	if cfg.InitialList.Generation != 0 || len(cfg.InitialList.Instances) > 0 {
 		known := cfg.InitialList.EndpointList()
 		known.Complete = true
-		conf.CachedEndpoints = &known
+		out.CachedEndpoints = &known
 	}
+	return out
+}
+
+// newPlatformTransport returns the transport of a sender with its share of the descriptors.
+func newPlatformTransport(cfg *config.Platform, limits connectionLimits) *httptransport.Transport {
+	settings := cfg.Deployment.Settings
 	transport := httptransport.New(duration(cfg.Deployment.ConnectTimeout), duration(settings.ConnIdle),
 		httptransport.Limits{Open: limits.calls, Idle: limits.idle, PerEndpoint: settings.Slots})
 	transport.LoadMetrics = cfg.Deployment.LoadMetrics
-	p.core, err = core.New(conf, core.Dependencies{Store: opened, Source: p.source, Sink: p.sink, Log: log,
-		Transport: transport, Lifecycle: life, Monitor: monitor, Takeover: takeover,
-		ReopenStore: func() (core.Store, error) { return open() }})
-	if err != nil {
-		opened.Close()
-		return nil, err
-	}
-	memoryMB := cfg.Limits.MemoryMB
+	return transport
+}
+
+// makeFront makes the front with its share of the descriptors and of the memory.
+func (p *Platform) makeFront(limits connectionLimits) {
+	memoryMB := p.cfg.Limits.MemoryMB
 	if memoryMB <= 0 {
 		memoryMB = defaultMemoryMB
 	}
-	p.front = resp.New(p.core, resp.Options{Listen: cfg.Listen, MaxConnections: limits.clients, MaxLingering: limits.ending,
-		LargeRequestBytes: int64(memoryMB * (1 << 20) / largeRequestDivisor), NumericPartners: true, Monitor: monitor,
-		Ready: func() bool { return life.Behavior().Ready }, Log: log})
-	return p, nil
+	p.front = resp.New(p.core, resp.Options{Listen: p.cfg.Listen, MaxConnections: limits.clients,
+		MaxLingering: limits.ending, LargeRequestBytes: int64(memoryMB * (1 << 20) / largeRequestDivisor),
+		NumericPartners: true, Monitor: p.monitor, Ready: func() bool { return p.life.Behavior().Ready }, Log: p.log})
 }
 
 // pollSettings returns the settings of the discovery client.
@@ -167,7 +183,7 @@
 	}
 	p.cfg = cfg
 	p.saveConfig()
-	p.log.Info("reload: settings", "classes", len(cfg.Deployment.Settings.Classes), "attempts", cfg.Deployment.Settings.MaxTries)
+	p.log.Info("reload: settings", "classes", len(cfg.Deployment.Settings.Classes), "attempts", cfg.Deployment.Settings.MaxAttempts)
 	p.sink.SetAddress(cfg.Discovery)
 	p.source.UpdateSettings(pollSettings(cfg.Deployment.Settings))
 	if p.source.SetAddress(cfg.Discovery) {
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -190,26 +190,31 @@
 		shareChanged = s.cluster.Changed()
 		go s.leaveCluster(work)
 	}
-	go func() {
-		select { // settings can be applied once the core's loop runs
-		case <-s.core.Ready():
-		case <-work.Done():
+	go s.followReloads(work, reload, shareChanged, load)
+	return s.core.Run(ctx, s.fronts...)
+}
+
+// followReloads loads and applies the configuration on each signal, or passes the signal on once another process has
+// taken over. It sets the partners' shares on each change of them.
+func (s *Standalone) followReloads(ctx context.Context, signals <-chan os.Signal, shareChanged <-chan struct{},
+	load func() (*config.File, error)) {
+	select { // settings can be applied once the core's loop runs
+	case <-s.core.Ready():
+	case <-ctx.Done():
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
 			return
-		}
-		for {
-			select {
-			case <-work.Done():
-				return
-			case <-reload:
-				if !s.reloads.received() {
-					s.reload(load)
-				}
-			case <-shareChanged:
-				s.source.Set(s.file.EndpointList(s.currentShare()))
+		case <-signals:
+			if !s.reloads.received() {
+				s.reload(load)
 			}
+		case <-shareChanged:
+			s.source.Set(s.file.EndpointList(s.currentShare()))
 		}
-	}()
-	return s.core.Run(ctx, s.fronts...)
+	}
 }
 
 // reload applies the configuration file that load returns. A file with an error changes nothing.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -37,7 +37,7 @@
 	} `json:"tenants"`
 	Kinds  []string `json:"machine_types"`
 	Limits struct {
-		MaxTries      int     `json:"max_attempts"`
+		MaxAttempts   int     `json:"max_attempts"`
 		MaxOpen       int     `json:"max_open"`
 		ConnIdle      float64 `json:"conn_idle_s"`
 		ConnTimeout   float64 `json:"connect_timeout_s"`
@@ -116,7 +116,7 @@
 func (in *setup) settings() (logic.Settings, error) {
 	out := logic.Settings{Senders: in.Balancers, Zone: in.Zone, Zones: len(in.Zones), Slots: in.Specifics.Slots,
 		ConnIdle: toMicros(in.Limits.ConnIdle), ConnCalls: in.Limits.ConnCalls, ConnCost: in.Charges.Handshake,
-		MaxOpen: in.Limits.MaxOpen, MaxTries: in.Limits.MaxTries, Tick: toMicros(in.Tick),
+		MaxOpen: in.Limits.MaxOpen, MaxAttempts: in.Limits.MaxAttempts, Tick: toMicros(in.Tick),
 		ListOnRequest: in.Mode == "on_request", Probing: in.Limits.Probing, MayCancel: in.Limits.MayCancel,
 		AdviseRetry: in.Limits.RetryAfter, ExponentialDecay: in.Specifics.Decay == "halves",
 		MaxRetryAfter: toMicros(in.Limits.MaxRetryAfter), OverQuotaWorth: in.OverShare,
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -137,7 +137,7 @@
 "charges":{"handshake":0.02},"load_info":{"how":"inline","names":["x1","qps","x0"]},"over_share_worth":0.2,
 "rules":{"cold_from":0.19,"drain_grace_s":2,"fall_multiple":2,"fall_s":3,"warm_after_s":14,"key_quiet_s":1.5},
 "specifics":{"batch_by_kind":[1,4],"call_slots":6,"late":"halves","separate_routes":[true,false]}}`))
-	want := logic.Settings{Senders: 3, Zone: 1, Zones: 2, Tick: 5000, OverQuotaWorth: 0.2, Slots: 6, MaxOpen: 69, MaxTries: 6,
+	want := logic.Settings{Senders: 3, Zone: 1, Zones: 2, Tick: 5000, OverQuotaWorth: 0.2, Slots: 6, MaxOpen: 69, MaxAttempts: 6,
 		ListOnRequest: true, Probing: true, MayCancel: true, AdviseRetry: true, ExponentialDecay: true, Weights: logic.WeightsRough,
 		MaxRetryAfter: 2_000_000, DrainGrace: 2_000_000, FallMultiple: 2, FallWindow: 3_000_000, ColdFrom: 0.19,
 		WarmAfter: 14_000_000, KeyQuiet: 1_500_000, ConnIdle: 10_000_000, ConnCalls: 8, ConnCost: 0.02, RemainingIndex: 2, LimitIndex: 0,
--- a/logic/books.go
+++ b/logic/books.go
@@ -10,10 +10,10 @@
 		return
 	}
 	var class *Class
-	maxAttempts := s.settings.MaxTries
+	maxAttempts := s.settings.MaxAttempts
 	switch {
 	case c.Terms != nil:
-		class, maxAttempts = &c.Terms.Class, c.Terms.MaxTries
+		class, maxAttempts = &c.Terms.Class, c.Terms.MaxAttempts
 	case c.Class >= 0 && c.Class < len(s.settings.Classes):
 		class = &s.settings.Classes[c.Class]
 	default:
--- a/logic/churn_test.go
+++ b/logic/churn_test.go
@@ -8,7 +8,7 @@
 // Endpoints, destinations and order keys that nothing refers to any more are dropped; otherwise the process
 // would grow as long as it runs. State with a call in flight is kept.
 func TestUnusedStateIsDropped(t *testing.T) {
-	set := Settings{Senders: 1, Slots: 4, MaxTries: 6, Tick: 5000, MayCancel: true,
+	set := Settings{Senders: 1, Slots: 4, MaxAttempts: 6, Tick: 5000, MayCancel: true,
 		Classes: []Class{{Name: "c", Aim: Second, Deadline: 10 * Second, Worth: 1, KeepOrder: true}}}
 	s, err := New(set, 1)
 	if err != nil {
@@ -59,7 +59,7 @@
 
 // Healthy endpoints send invalid responses as well: a few are no outage, several in a row are.
 func TestInvalidResponsesAndOutage(t *testing.T) {
-	set := Settings{Senders: 1, Slots: 4, MaxTries: 100, Tick: 5000, MayCancel: true,
+	set := Settings{Senders: 1, Slots: 4, MaxAttempts: 100, Tick: 5000, MayCancel: true,
 		Classes: []Class{{Name: "c", Aim: Second, Deadline: 10 * Second, Worth: 1}}}
 	s, err := New(set, 1)
 	if err != nil {
@@ -81,7 +81,7 @@
 // Connections sometimes break without an outage: with answers between them the endpoint stays in use. Several
 // in a row, or one followed by a refused connection, are an outage.
 func TestResetsAndOutage(t *testing.T) {
-	set := Settings{Senders: 1, Slots: 4, MaxTries: 100, Tick: 5000, MayCancel: true,
+	set := Settings{Senders: 1, Slots: 4, MaxAttempts: 100, Tick: 5000, MayCancel: true,
 		Classes: []Class{{Name: "c", Aim: Second, Deadline: 100 * Second, Worth: 1}}}
 	for _, x := range []struct {
 		name     string
--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -117,7 +117,7 @@
 	p.restarts = []string{"", "", "herd", "roll"}[p.rnd.IntN(4)]
 	p.drains = p.endpoints > 1 && u(0, 1) < 0.4
 	p.set = base()
-	p.set.Senders, p.set.Slots, p.set.MaxOpen, p.set.MaxTries, p.set.TrackChanges = n, 60, 200, p.rnd.IntN(2)*6, true
+	p.set.Senders, p.set.Slots, p.set.MaxOpen, p.set.MaxAttempts, p.set.TrackChanges = n, 60, 200, p.rnd.IntN(2)*6, true
 	p.set.FallWindow, p.set.FallMultiple = sec(u(1.5, 4)), u(2, 3)
 	p.set.ColdFrom, p.set.WarmAfter = u(0.15, 0.3), sec(u(8, 14))
 	p.set.Kinds[0].Independent = p.independent
--- a/logic/drain_test.go
+++ b/logic/drain_test.go
@@ -42,7 +42,7 @@
 		sends int
 	}{{"not tried since", false, 1}, {"answers", true, 8}} {
 		set := base()
-		set.Slots, set.MaxTries = 16, 1
+		set.Slots, set.MaxAttempts = 16, 1
 		r := newRig(t, set)
 		r.step(90, list(2))
 		for i := range 8 { // the capacity of the limiter
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -10,7 +10,7 @@
 func Example() {
 	const second = logic.Second
 	sender, err := logic.New(logic.Settings{
-		Senders: 1, Zones: 1, Slots: 4, MaxTries: 6, Tick: 5000, MayCancel: true,
+		Senders: 1, Zones: 1, Slots: 4, MaxAttempts: 6, Tick: 5000, MayCancel: true,
 		Classes:      []logic.Class{{Name: "note", Aim: 2 * second, Deadline: 20 * second, Worth: 1}},
 		Kinds:        []logic.Kind{{Name: "partner", MaxBatch: 1}},
 		FallMultiple: 2, FallWindow: 2 * second, ColdFrom: 0.2, WarmAfter: 14 * second,
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -44,7 +44,7 @@
 		actualLimit: func(float64) float64 { return limit }, outcome: func(float64) Outcome { return Completed }}
 	for i := range n {
 		set := base()
-		set.Senders, set.Weights, set.MaxTries, set.MaxOpen, set.FallWindow = n, WeightsNominal, 0, 1+4000/n, 3*Second
+		set.Senders, set.Weights, set.MaxAttempts, set.MaxOpen, set.FallWindow = n, WeightsNominal, 0, 1+4000/n, 3*Second
 		s, err := New(set, uint64(i))
 		if err != nil {
 			panic(err)
--- a/logic/retune_test.go
+++ b/logic/retune_test.go
@@ -7,7 +7,7 @@
 )
 
 func drawSettings(t *rapid.T) Settings {
-	set := Settings{Senders: 1, Zones: 1, Slots: 4, MaxOpen: 10, MaxTries: rapid.IntRange(1, 4).Draw(t, "tries"),
+	set := Settings{Senders: 1, Zones: 1, Slots: 4, MaxOpen: 10, MaxAttempts: rapid.IntRange(1, 4).Draw(t, "tries"),
 		Tick:           1000,
 		RemainingIndex: -1, LimitIndex: -1, MayCancel: true, FallMultiple: 2, FallWindow: 3 * Second,
 		WarmAfter: 14 * Second, ColdFrom: 0.2,
@@ -74,7 +74,7 @@
 			case 1:
 				n++
 				id, class := string(rune('A'+n)), rapid.IntRange(0, len(set.Classes)-1).Draw(t, "class")
-				msgs[id] = &state{effect: set.Classes[class].Effect, most: set.MaxTries}
+				msgs[id] = &state{effect: set.Classes[class].Effect, most: set.MaxAttempts}
 				step(NewMessage{ID: id, Remaining: 16 * Second, Dest: 1, Tenant: -1, Class: class})
 			case 2:
 				if len(out) == 0 {
@@ -104,8 +104,8 @@
 		if len(got.Classes) != len(next.Classes) || CheckUpdate(was, got) != nil {
 			t.Fatalf("%+v", got.Classes)
 		}
-		if got.MaxTries > was.MaxTries || got.MaxTries > next.MaxTries {
-			t.Fatalf("%d attempts, %d and %d allowed", got.MaxTries, was.MaxTries, next.MaxTries)
+		if got.MaxAttempts > was.MaxAttempts || got.MaxAttempts > next.MaxAttempts {
+			t.Fatalf("%d attempts, %d and %d allowed", got.MaxAttempts, was.MaxAttempts, next.MaxAttempts)
 		}
 		for i, c := range got.Classes {
 			if c.Name != next.Classes[i].Name || c.Effect < next.Classes[i].Effect {
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -11,7 +11,7 @@
 // base is a simple deployment: two senders, one safe, one keyed and one unsafe class, one kind of
 // destination.
 func base() Settings {
-	return Settings{Senders: 2, Zones: 1, Slots: 8, MaxOpen: 60, MaxTries: 6, Tick: 5000, MayCancel: true,
+	return Settings{Senders: 2, Zones: 1, Slots: 8, MaxOpen: 60, MaxAttempts: 6, Tick: 5000, MayCancel: true,
 		AdviseRetry: true,
 		Classes: []Class{
 			{Name: "a", Aim: Second, Deadline: 10 * Second, Worth: 1, LateWorth: 0.5},
@@ -538,7 +538,7 @@
 		w.fail("unsafe %s sent again", m.id)
 	case m.mayHaveRun && c.Effect == Keyed && (w.now > m.mayHaveRunAt+c.Window || c.ByZone && e.entry.Zone != m.zone):
 		w.fail("keyed %s sent outside its zone or window", m.id)
-	case w.settings.MaxTries > 0 && m.attempts >= w.settings.MaxTries:
+	case w.settings.MaxAttempts > 0 && m.attempts >= w.settings.MaxAttempts:
 		w.fail("too many attempts of %s", m.id)
 	}
 	if m.key != "" {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -38,7 +38,7 @@
 		"no advice":  make(func(s *Settings) { s.AdviseRetry, s.MaxRetryAfter = false, 0 }),
 		"no cancel":  make(func(s *Settings) { s.MayCancel = false }),
 		"reports":    make(func(s *Settings) { s.RemainingIndex, s.LimitIndex = 0, 1; s.Senders = 9 }),
-		"no limits":  make(func(s *Settings) { s.MaxOpen, s.MaxTries, s.Slots = 0, 0, 40 }),
+		"no limits":  make(func(s *Settings) { s.MaxOpen, s.MaxAttempts, s.Slots = 0, 0, 40 }),
 		"short tick": make(func(s *Settings) { s.Tick = 1000; s.DrainGrace = 0 }),
 	}
 }
@@ -124,7 +124,7 @@
 	for want, f := range map[string]func(*Settings){
 		"Classes": func(s *Settings) { s.Classes = nil }, "Senders": func(s *Settings) { s.Senders = 0 },
 		"Zone": func(s *Settings) { s.Zone = 4 }, "Slots": func(s *Settings) { s.Slots = -1 },
-		"MaxOpen": func(s *Settings) { s.MaxOpen = -1 }, "MaxTries": func(s *Settings) { s.MaxTries = -2 },
+		"MaxOpen": func(s *Settings) { s.MaxOpen = -1 }, "MaxTries": func(s *Settings) { s.MaxAttempts = -2 },
 		"ColdFrom": func(s *Settings) { s.ColdFrom = 2 }, "Classes[1]": func(s *Settings) { s.Classes[1].Deadline = 0 },
 		"Kinds[0]": func(s *Settings) { s.Kinds[0].MaxBatch = -1 }, "Tick": func(s *Settings) { s.Tick = -1 },
 	} {
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -19,8 +19,8 @@
 		return invalid("Slots")
 	case set.MaxOpen < 0:
 		return invalid("MaxOpen")
-	case set.MaxTries < 0:
-		return invalid("MaxTries")
+	case set.MaxAttempts < 0:
+		return invalid("MaxTries") // its name in error messages
 	case set.Tick < 0:
 		return invalid("Tick")
 	case set.BurstTime < 0:
@@ -76,11 +76,12 @@
 	return nil
 }
 
-// Strictest returns the next settings, with classes that are at least as strict as those of either settings, and no
-// more attempts than either allows. They apply while it is not certain which settings a client knows.
+// Strictest returns the next settings, with classes that are at least as strict as those of either settings,
+// and no more attempts than either allows. They apply while it is not certain which settings a client knows.
 func Strictest(current, next Settings) Settings {
-	if current.MaxTries > 0 && (next.MaxTries == 0 || current.MaxTries < next.MaxTries) { // 0 is no limit
-		next.MaxTries = current.MaxTries
+	unlimited := next.MaxAttempts == 0
+	if current.MaxAttempts > 0 && (unlimited || current.MaxAttempts < next.MaxAttempts) {
+		next.MaxAttempts = current.MaxAttempts
 	}
 	next.Classes = slices.Clone(next.Classes)
 	for i := range next.Classes {
--- a/logic/types.go
+++ b/logic/types.go
@@ -75,7 +75,7 @@
 	Kinds            []Kind      // indexed by Entry.Kind
 	Slots            int         // maximum number of calls in flight; one rate limiter allows half of them
 	MaxOpen          int         // pending limit, in messages: load is shed when it is near; 0 for no limit
-	MaxTries         int         // maximum number of attempts per message; 0 for no limit
+	MaxAttempts      int         // maximum number of attempts per message; 0 for no limit
 	Tick             Micros      // granularity of timers: a step may come this much late
 	BurstTime        Micros      // burst of an idle limiter, as time at its rate; 0 for the default
 	ListOnRequest    bool        // the endpoint list is sent only on request, see RequestEndpoints
@@ -183,8 +183,8 @@
 // Terms are the settings under which a message was accepted. They apply until it ends, even if the settings
 // change.
 type Terms struct {
-	Class    Class
-	MaxTries int // maximum number of attempts; 0 for no limit
+	Class       Class
+	MaxAttempts int // maximum number of attempts; 0 for no limit
 }
 
 // UpdateSettings replaces the settings. The new settings must pass [CheckUpdate] against the current ones.
