Set the timer of the overlap again whenever its event finds nothing to end

An event that comes for an earlier overlap found nothing to end and left the timer to the later call; it now sets the timer again, so that an overlap can't be left without one. Found by reading the change; no fault was seen.

TestOverlapEndIsRetried shows that an end of the overlap that can't be stored is tried again and that an update that can't be stored changes nothing; TestOverlapOutlivesStandalone submits over both fronts.

Measured: the tests of terms and overlap in core and daemon pass.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -83,6 +83,22 @@
 	postponed  []journal.Record // records that could not be written yet
 	bodiesLost bool             // bodies can't be read
 	unhealthy  map[string]bool  // last written health of partners
+	termsFull  bool             // no terms can be added
+}
+
+func (f *failingStore) SetTermsInForce(inForce journal.TermsInForce) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.termsFull {
+		return 0, errors.New("too many terms")
+	}
+	return f.Store.SetTermsInForce(inForce)
+}
+
+func (f *failingStore) setTermsFull(full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.termsFull = full
 }
 
 func (f *failingStore) Append(recs []journal.Record) error {
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -99,9 +99,7 @@
 		return err
 	}
 	accepting.number, c.terms, c.overlap = n, accepting, overlap
-	if until, ok := overlap.nextEnd(); ok {
-		c.scheduleOverlapEnd(time.Until(c.clock.Moment(until)))
-	}
+	c.scheduleOverlapEnd(0)
 	return nil
 }
 
@@ -159,12 +157,16 @@
 	return nil
 }
 
-// scheduleOverlapEnd posts an overlapEndEvent after a delay. An earlier schedule is replaced.
-func (c *Core) scheduleOverlapEnd(delay time.Duration) {
+// scheduleOverlapEnd posts an overlapEndEvent when the next settings in the overlap stop binding, or after minDelay if that
+// is later. It replaces an earlier schedule.
+func (c *Core) scheduleOverlapEnd(minDelay time.Duration) {
 	if c.overlapTimer != nil {
 		c.overlapTimer.Stop()
 	}
-	c.overlapTimer = time.AfterFunc(delay, func() { c.post(overlapEndEvent{}) })
+	if until, ok := c.overlap.nextEnd(); ok {
+		delay := max(time.Until(c.clock.Moment(until)), minDelay)
+		c.overlapTimer = time.AfterFunc(delay, func() { c.post(overlapEndEvent{}) })
+	}
 }
 
 // endOverlap drops the settings that no longer bind. If the result can't be applied, the stricter settings stay and
@@ -172,6 +174,7 @@
 func (c *Core) endOverlap() {
 	overlap := c.overlap.bindingAt(c.clock.Now())
 	if len(overlap) == len(c.overlap) { // posted for an earlier overlap
+		c.scheduleOverlapEnd(0)
 		return
 	}
 	if err := c.applySettings(c.configuredTerms.Load().settings, overlap); err != nil {
--- a/internal/core/terms_test.go
+++ b/internal/core/terms_test.go
@@ -209,6 +209,7 @@
 // The overlap ends at the same time after a restart within it as without one, and a restart with the same settings begins
 // none.
 func TestOverlapEndsAfterRestart(t *testing.T) {
+	t.Parallel()
 	dir, cfg := t.TempDir(), testConfig()
 	cfg.Settings = settingsWith(cfg, 3, "x unsafe")
 	r := newRig(t, dir, cfg).run()
@@ -219,7 +220,7 @@
 	latest := time.Now().Add(settingsOverlap)
 	r.crash()
 	cfg.Settings = settingsWith(cfg, 3, "x safe")
-	logged, awaitEnd := awaitOverlapEnd(t)
+	logged, await := awaitLog(t)
 	r = newRig(t, dir, cfg, logged)
 	if len(r.overlap) != 1 {
 		t.Fatalf("overlap %+v", r.overlap)
@@ -229,7 +230,7 @@
 		t.Errorf("the overlap ends %v after the change", end.Sub(began))
 	}
 	r.run()
-	awaitEnd()
+	await("still_binding=0")
 	r.shutDown()
 	r = newRig(t, dir, cfg)
 	if len(r.overlap) != 0 {
@@ -238,13 +239,13 @@
 	r.run().shutDown()
 }
 
-// awaitOverlapEnd returns an option that logs to a channel, and a function that waits until no replaced settings bind.
-func awaitOverlapEnd(t *testing.T) (option func(*Dependencies), wait func()) {
+// awaitLog returns an option that logs to a channel, and a function that waits for a line that contains part.
+func awaitLog(t *testing.T) (option func(*Dependencies), await func(part string)) {
 	lines := make(logLines, 1024)
 	option = func(deps *Dependencies) { deps.Log = slog.New(slog.NewTextHandler(lines, nil)) }
-	return option, func() {
+	return option, func(part string) {
 		t.Helper()
-		for !strings.Contains(byhand.Await(t, lines, "end of the overlap"), "still_binding=0") {
+		for !strings.Contains(byhand.Await(t, lines, "log line with "+part), part) {
 		}
 	}
 }
@@ -262,7 +263,8 @@
 
 // Once the overlap of the last change is over, the new settings alone bind.
 func TestOverlapEnds(t *testing.T) {
-	logged, awaitEnd := awaitOverlapEnd(t)
+	t.Parallel()
+	logged, await := awaitLog(t)
 	cfg := testConfig()
 	cfg.Settings = settingsWith(cfg, 3, "x unsafe")
 	r := newRig(t, t.TempDir(), cfg, logged).run()
@@ -272,7 +274,7 @@
 			t.Fatal(err)
 		}
 	}
-	awaitEnd()
+	await("still_binding=0")
 	if took := time.Since(began); took < settingsOverlap {
 		t.Errorf("the earlier settings bound for %v", took)
 	}
@@ -283,6 +285,29 @@
 	r.shutDown()
 }
 
+// An end of the overlap that can't be stored, because messages refer to too many terms, is tried again. An update that
+// can't be stored changes nothing.
+func TestOverlapEndIsRetried(t *testing.T) {
+	t.Parallel()
+	logged, await := awaitLog(t)
+	cfg := testConfig()
+	cfg.Settings = settingsWith(cfg, 3, "x unsafe")
+	r := newRig(t, t.TempDir(), cfg, logged).run()
+	if err := r.UpdateSettings(settingsWith(cfg, 3, "x safe"), cfg.Zones); err != nil {
+		t.Fatal(err)
+	}
+	r.store.setTermsFull(true)
+	if err := r.UpdateSettings(settingsWith(cfg, 3, "y safe"), cfg.Zones); err == nil {
+		t.Error("an update that can't be stored is accepted")
+	}
+	r.failsAfterOneAttempt("early", "x")
+	await("too many terms") // of the update
+	await("too many terms") // of the end of the overlap
+	r.store.setTermsFull(false)
+	await("still_binding=0")
+	r.shutDown()
+}
+
 // Settings change twice in one turn of the loop, around the acceptance of a message. After a crash the message still has
 // the terms of its acceptance: both changes must not get the same number in the journal.
 func TestUpdatesInOneTurnKeepTermsApart(t *testing.T) {
--- a/internal/daemon/overlap_test.go
+++ b/internal/daemon/overlap_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -117,7 +118,7 @@
 	})
 }
 
-// A standalone daemon keeps the overlap too when it is upgraded or killed right after SIGHUP.
+// A standalone daemon with both fronts keeps the overlap too when it is upgraded or killed right after SIGHUP.
 func TestOverlapOutlivesStandalone(t *testing.T) {
 	path, err := programPath()
 	if err != nil {
@@ -158,13 +159,18 @@
 				x.Wait()
 			}
 			next := start()
-			if got := dial(t, next.Addrs[1]).do("MSG.PUT", "0", "early", "c=unsafe,d=10000,dest=acme", "x"); got != "+OK" {
-				t.Fatalf("got %q", got)
+			if status := traffic.PutHTTP(http.DefaultClient, next.Addrs[0], "over-http", "acme", "unsafe"); status != http.StatusAccepted {
+				t.Errorf("status %d", status)
 			}
-			if got := state(t, next.Addrs[0], "early", "10s"); got != "failed" {
-				t.Errorf("the message is %s", got)
+			if got := traffic.PutRESP(next.Addrs[1], "over-resp", "acme", "unsafe"); got != "+OK" {
+				t.Errorf("got %q", got)
 			}
-			if calls := p.Calls(); len(calls) != 1 {
+			for _, id := range []string{"over-http", "over-resp"} {
+				if got := state(t, next.Addrs[0], id, "10s"); got != "failed" {
+					t.Errorf("%s is %s", id, got)
+				}
+			}
+			if calls := p.Calls(); len(calls) != 2 {
 				t.Errorf("%d calls", len(calls))
 			}
 			next.Signal(syscall.SIGTERM)
