Post unanswered notices again beside the open post, over new connections

What callers saw: once the open connections to the platform had fallen silent, the next notice came 0.67 s after the time of its message.

Cause: one post was out at a time, for 0.2 s and then for 0.4 s. The first went over the idle connection and the second over the spare one. Both were open at the same time and so silent together: two posts, one try. The third was the first over a connection opened later.

Evidence: the same program with the age of each post's connection logged (a trial) shows posts over connections opened 24.0 s, 3.2 s and 0.45 s before, the first two from before the silence. On the old code these fail: TestOpenConnectionsFallSilent (0.68 s late), TestNewConnectionsAreSilentToo (1.6 and 2.8 s), TestEndsWhileAPostIsUnanswered (1.6 s), TestSilenceWithSeveralBatches, TestRefusedBatch while silent, TestSilenceWhileNewConnectionsAreLate, TestMoveWhilePostsAreUnanswered (1.3 s) and TestSlowPlatform (late at 0.5 s an answer, never confirmed at 2 s). TestSilenceAtEachByte and TestEndsAfterALongOutage pass on both.

Why it works: a post without an answer stays out, and is repeated beside it after 80, 160 and 240 ms. The second of these four rounds has a post over the spare connection and one over a new one, so three rounds are over connections opened after the first post, and each has the ends that came meanwhile. The first answer counts and ends the other posts. Four may be out; the oldest is kept for 5 s, so that a slow platform gets to confirm it. A refused batch is halved until the invalid notice is alone. There is no change to what is sent.

The tests above pass under the race detector, three processes of two runs each side by side. Tests of daemon and soak pass under the race detector.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -9,7 +9,7 @@
 // needs.
 
 const (
-	reservedDescriptors = 20 // standard streams, listener, poller, discovery, notices
+	reservedDescriptors = 22 // standard streams, listener, poller, discovery, notices
 	defaultDescriptors  = 1024
 	endingDivisor       = 16 // 1/16 of the client connections is reserved for those that are ending
 	minEnding           = 4
--- a/internal/sink/notices/spare.go
+++ b/internal/sink/notices/spare.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	dialTimeout        = time.Second      // to establish a connection
 	spareCheckInterval = time.Second      // between checks that the spare connection is still open
 	minSpareDelay      = time.Second      // after a spare connection that failed or was closed early; doubled each time
 	maxSpareDelay      = 32 * time.Second // limit of that delay
@@ -21,16 +22,15 @@
 type dialer struct {
 	dial func(ctx context.Context, addr string) (net.Conn, error)
 
-	mu          sync.Mutex
-	addr        string // target of the spare connection
-	spare       net.Conn
-	spareMadeAt time.Time     // when the spare connection was opened
-	refill      chan struct{} // holds a value if a spare connection is needed at once
+	mu     sync.Mutex
+	addr   string        // target of the spare connection
+	spare  *openedConn   // nil if there is none
+	refill chan struct{} // holds a value if a spare connection is needed at once
 }
 
 // newDialer returns a dialer that requests a spare connection to addr.
 func newDialer(addr string) *dialer {
-	netDialer := net.Dialer{Timeout: requestTimeout}
+	netDialer := net.Dialer{Timeout: dialTimeout}
 	spareDialer := &dialer{addr: addr, refill: make(chan struct{}, 1),
 		dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return netDialer.DialContext(ctx, "tcp", addr)
@@ -44,11 +44,15 @@
 	if conn := d.takeSpare(addr); conn != nil {
 		return conn, nil
 	}
-	return d.dial(ctx, addr)
+	conn, err := d.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &openedConn{conn, time.Now()}, nil
 }
 
 // takeSpare returns the spare connection if it leads to addr and is still usable, and nil otherwise.
-func (d *dialer) takeSpare(addr string) net.Conn {
+func (d *dialer) takeSpare(addr string) *openedConn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.addr != addr || d.spare == nil {
@@ -130,7 +134,10 @@
 		d.spare.Close()
 		d.spare = nil
 	}
-	return time.Since(d.spareMadeAt), d.spare != nil
+	if d.spare == nil {
+		return 0, false
+	}
+	return time.Since(d.spare.openedAt), true
 }
 
 // dialSpare opens a spare connection.
@@ -148,11 +155,11 @@
 		conn.Close()
 		return
 	}
-	d.spare, d.spareMadeAt = conn, time.Now()
+	d.spare = &openedConn{conn, time.Now()}
 }
 
 // isUnused reports whether the peer keeps a connection open and has sent nothing on it.
-func isUnused(conn net.Conn) bool {
-	alive, data := netutil.Peek(conn)
+func isUnused(conn *openedConn) bool {
+	alive, data := netutil.Peek(conn.Conn)
 	return alive && !data
 }
--- a/internal/soak/points.go
+++ b/internal/soak/points.go
@@ -30,7 +30,7 @@
 	transport   = "internal/transport/http/calls.go"
 	session     = "internal/front/resp/session.go"
 	front       = "internal/front/resp/clients.go"
-	notices     = "internal/sink/notices/notices.go"
+	notices     = "internal/sink/notices/poster.go"
 	handingOver = "internal/core/handover.go"
 	startup     = "internal/daemon/platform.go"
 	following   = "internal/source/platform/follow.go"
@@ -78,8 +78,8 @@
 	{faultbuild.Point{Name: "call: outcome there, not posted", File: coreAttempt, Before: "		took := time.Since(startedAt)"}, byTraffic},
 	{faultbuild.Point{Name: "outcome: taken, not noted", File: coreAttempt, Before: "	c.traceOutcome(ev)"}, byTraffic},
 	{faultbuild.Point{Name: "outcome: delivered, not finished", File: coreAttempt, Before: "	c.traceEnd(id, p, message.Delivered)"}, byTraffic},
-	{faultbuild.Point{Name: "notice: about to be posted", File: notices, Before: "			status, err := n.post(ctx, batch, timeout)"}, byTraffic},
-	{faultbuild.Point{Name: "notice: answered, not confirmed", File: notices, Before: "				confirm(idsOf(batch))\n				break"}, byTraffic},
+	{faultbuild.Point{Name: "notice: about to be posted", File: notices, Before: "	body := encode(batch)"}, byTraffic},
+	{faultbuild.Point{Name: "notice: answered, not confirmed", File: notices, Before: "	p.confirm(ids)"}, byTraffic},
 	{faultbuild.Point{Name: "notice: confirmed, not recorded", File: coreLoop, Before: "		now := c.clock.Now()\n		for _, id := range ev.ids {"}, byTraffic},
 	{faultbuild.Point{Name: "list: about to be asked for", File: following, Before: "	callCtx, cancel := context.WithCancel(ctx)"}, byTraffic},
 	{faultbuild.Point{Name: "list: call over, not noted", File: following, Before: "	f.endCall(r.request.ID)\n	now := f.now()"}, byTraffic},
