Test notices over silent connections around the end of a process

Need: the related paths of the fault of notices: a process that is told to end, hands over or is moved by SIGHUP while its connections to the platform are silent, with real processes.

--- a/internal/standin/discovery/discovery.go
+++ b/internal/standin/discovery/discovery.go
@@ -12,6 +12,7 @@
 
 	"cometrack/internal/source/platform"
 	"cometrack/internal/standin/fate"
+	"cometrack/internal/standin/silence"
 )
 
 // Notice is one line of a notice that the platform receives.
@@ -22,9 +23,10 @@
 }
 
 // Platform is a stand-in for discovery and for the receiver of notices. Its fields from List on are changed
-// within [Platform.Set].
+// within [Platform.Set]. Its connections can fall silent.
 type Platform struct {
 	Server          *httptest.Server
+	Connections     *silence.Listener            // of the server
 	Notices         chan Notice                  // lines of the accepted notices, in order
 	ListCalls       chan string                  // raw query of each call for the list
 	RejectedNotices chan int                     // number of lines of each rejected notice
@@ -46,7 +48,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/discovery/hosts", p.hosts)
 	mux.HandleFunc("/v1/outcomes", p.outcomes)
-	p.Server = httptest.NewServer(mux)
+	p.Server = httptest.NewUnstartedServer(mux)
+	p.Connections = silence.Listen(p.Server.Listener)
+	p.Server.Listener = p.Connections
+	p.Server.Start()
 	t.Cleanup(func() { p.Server.CloseClientConnections(); p.Server.Close() })
 	return p
 }
