Make a check of the list beside an unanswered call over a new connection

What callers saw: nothing late yet. The table of bounds counts the checks after a watch that fell silent as separate tries, and the first of them was none where an idle connection to discovery was left: from a call that was given up while its connection came up.

Cause: the check took the idle connection, which had been open together with that of the watch, so that both were silent together.

Evidence: TestCheckBesideASilentWatchHasANewConnection failed before for 1, 60 and 300 senders and for an agent: a check went over a connection opened before the silence. The list came within 2 s of the hold all the same, by a later check.

Why it works: idle connections to discovery are closed when a call begins beside one that is not answered, and when a call runs out of time. Answers with an error keep theirs.

--- a/internal/source/platform/follow.go
+++ b/internal/source/platform/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"time"
@@ -81,8 +82,12 @@
 	}
 }
 
-// startCall starts a call in a goroutine.
+// startCall starts a call in a goroutine. Beside a call that is not answered it gets a new connection: an idle one was
+// open together with that call's, and may be silent together with it.
 func (f *follower) startCall(ctx context.Context, r poll.Request, now time.Duration) {
+	if len(f.cancels) > 0 {
+		f.client.CloseIdleConnections()
+	}
 	callCtx, cancel := context.WithCancel(ctx)
 	f.cancels[r.ID] = cancel
 	f.log.Debug("discovery: call started", "call", r.ID, "whole", r.Complete, "since", r.Since, "hold", r.Hold, "out", len(f.cancels))
@@ -115,6 +120,9 @@
 	f.endCall(r.request.ID)
 	now := f.now()
 	if r.err != nil {
+		if errors.Is(r.err, context.DeadlineExceeded) {
+			f.client.CloseIdleConnections() // they may be as silent as the call's
+		}
 		f.poller.CallFailed(now, r.request.ID)
 		f.logFailure(r, r.err, now)
 		return
