Close idle connections to an endpoint that were open with a silent one

What callers saw: where the idle connections to an endpoint had all fallen silent, one message after another ran out of time on them, as many as were idle. An unsafe message fails by that; probes use the same connections.

Cause: a call that got no answer ended its own connection only. The others had been open together with it, so the next call was the same try again.

Why it works: a call over a reused connection that gets no byte of a response until its time is up, or until it is cancelled after a second or more, closes the idle connections to its endpoint whose last response came before the call began. Those that have answered since stay.

--- a/internal/transport/http/calls.go
+++ b/internal/transport/http/calls.go
@@ -25,6 +25,7 @@
 	idleMargin       = 500 * time.Millisecond // a connection is not reused this close to its idle timeout
 	minReuseDelay    = 20 * time.Millisecond  // between a response and reuse, for unrequested bytes to show
 	brokenConnWindow = 5 * time.Second        // after a reused connection broke, unrepeatable calls dial new ones
+	minSilence       = time.Second            // a call cancelled after this time without a response counts as unanswered
 	probeTimeout     = 1500 * time.Millisecond
 )
 
@@ -134,7 +135,7 @@
 		}
 		return core.Result{Outcome: logic.ConnectionRefused}
 	}
-	timer := &callTimer{conn: conn, deadline: deadline, linger: c.linger}
+	timer := &callTimer{conn: conn, startedAt: time.Now(), deadline: deadline, linger: c.linger}
 	stop := context.AfterFunc(ctx, timer.cancel)
 	timer.limitRead(0)
 	if err := send(conn, req, time.Until(deadline)); err != nil {
@@ -150,6 +151,9 @@
 		c.lastBrokenAt = time.Now()
 		c.mu.Unlock()
 	}
+	if !conn.idleSince.IsZero() && timer.unanswered(r.Outcome) {
+		c.closeIdleBefore(req.Endpoint, timer.startedAt)
+	}
 	if conn.limit.N <= 0 && r.Outcome != logic.Completed {
 		r = core.Result{Outcome: logic.InvalidResponse} // longer than the limit
 	}
@@ -174,6 +178,7 @@
 // apply until the call has ended, however much of the response has been read.
 type callTimer struct {
 	conn       net.Conn
+	startedAt  time.Time
 	deadline   time.Time
 	linger     time.Duration
 	mu         sync.Mutex
@@ -247,6 +252,17 @@
 	return logic.TimedOut
 }
 
+// unanswered reports whether no byte of a response came in the time of a call with this outcome, or until it was
+// cancelled after minSilence.
+func (l *callTimer) unanswered(outcome logic.Outcome) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.responding {
+		return false
+	}
+	return outcome == logic.TimedOut || outcome == logic.Cancelled && time.Since(l.startedAt) >= minSilence
+}
+
 // aborted reports whether the connection can't be reused, because the call was abandoned or a cancel may still
 // change its deadline.
 func (l *callTimer) aborted() bool {
@@ -423,6 +439,20 @@
 	return true
 }
 
+// closeIdleBefore closes the idle connections to ep whose last response came before a call began that got no answer.
+// They were open together with the connection of that call, and may be silent together with it.
+func (c *Transport) closeIdleBefore(ep logic.EndpointID, began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[ep] // in the order of their last responses
+	count := 0
+	for count < len(list) && list[count].idleSince.Before(began) {
+		c.closeIdle(list[count])
+		count++
+	}
+	c.setIdle(ep, list[count:])
+}
+
 // CloseIdle closes the idle connections to ep.
 func (c *Transport) CloseIdle(ep logic.EndpointID) {
 	c.mu.Lock()
