Close idle connections to a webhook's receiver after a request that failed

What callers saw: with the idle connections to the receiver all silent, as many requests ran out of time one after the other as may be made at a time (4 in the test), each followed by the growing pause between tries.

Cause: each request went over another idle connection, all open together: one try, made four times.

Evidence: TestSilentIdleConnectionsCostOneRequest had 4 requests run out of time before.

Why it works: a request that fails without a response closes the idle connections, so that the next one is made over a new one.

Measured: one request runs out of time now; the package's tests pass twice under the race detector.

--- a/internal/sink/webhook/webhook.go
+++ b/internal/sink/webhook/webhook.go
@@ -131,6 +131,7 @@
 	req.Header.Set("Webhook-Signature", Sign(s.opts.Key, id, timestamp, body))
 	resp, err := s.client.Do(req)
 	if err != nil {
+		s.client.CloseIdleConnections() // open together with that of the request, they may be silent together with it
 		return err
 	}
 	defer resp.Body.Close()
