Split the transport's file of calls by job: idle connections, timer, request

Change: idle.go keeps the idle connections, timer.go the deadlines of a call, request.go the bytes that are sent; calls.go is the rest. Nothing but places has changed; two points of the crossings follow.

--- a/internal/soak/points.go
+++ b/internal/soak/points.go
@@ -28,6 +28,7 @@
 	coreLoop    = "internal/core/loop.go"
 	coreRun     = "internal/core/core.go"
 	transport   = "internal/transport/http/calls.go"
+	idleConns   = "internal/transport/http/idle.go"
 	session     = "internal/front/resp/session.go"
 	front       = "internal/front/resp/clients.go"
 	notices     = "internal/sink/notices/poster.go"
@@ -68,13 +69,13 @@
 	{faultbuild.Point{Name: "end: decided, not queued", File: coreStep, Before: "			c.unreportedEnds = append(c.unreportedEnds, endReport{p.msg, end, true})"}, byTraffic},
 	{faultbuild.Point{Name: "end: about to be withheld", File: coreStep, Before: "		p.attempt.messageEnded.Store(true)"}, byTraffic},
 	{faultbuild.Point{Name: "call: about to be carried", File: coreAttempt, Before: "		startedAt := time.Now()\n		results := c.executeCall(ctx, call)"}, byTraffic},
-	{faultbuild.Point{Name: "call: kept connection about to be looked at", File: transport, Before: "	alive, data := netutil.Peek(conn.Conn)"}, byTraffic},
+	{faultbuild.Point{Name: "call: kept connection about to be looked at", File: idleConns, Before: "	alive, data := netutil.Peek(conn.Conn)"}, byTraffic},
 	{faultbuild.Point{Name: "call: connected, not begun", File: transport, Before: "	if !req.begin() {"}, byTraffic},
 	{faultbuild.Point{Name: "call: checked, about to begin", File: "internal/core/outgoing.go", Before: "	if a.state.CompareAndSwap(attemptWaiting, attemptBegun) {"}, byTraffic},
 	{faultbuild.Point{Name: "call: begun, not written", File: transport, Before: "	timer := &callTimer{conn: conn"}, byTraffic},
 	{faultbuild.Point{Name: "call: written, not noted", File: transport, Before: "	req.written()\n	conn.limit.N"}, byTraffic},
 	{faultbuild.Point{Name: "call: answer read", File: transport, Before: "	if conn.limit.N <= 0 && r.Outcome"}, byTraffic},
-	{faultbuild.Point{Name: "call: connection about to be kept", File: transport, Before: "	at, _ := slices.BinarySearchFunc("}, byTraffic},
+	{faultbuild.Point{Name: "call: connection about to be kept", File: idleConns, Before: "	at, _ := slices.BinarySearchFunc("}, byTraffic},
 	{faultbuild.Point{Name: "call: outcome there, not posted", File: coreAttempt, Before: "		took := time.Since(startedAt)"}, byTraffic},
 	{faultbuild.Point{Name: "outcome: taken, not noted", File: coreAttempt, Before: "	c.traceOutcome(ev)"}, byTraffic},
 	{faultbuild.Point{Name: "outcome: delivered, not finished", File: coreAttempt, Before: "	c.traceEnd(id, p, message.Delivered)"}, byTraffic},
