Let open connections fall silent in the soak and in the crossings

Need: the soak and measure crossings never silenced a connection that was open, so the fault of notices was out of their sight.

Change: the soak has the kind "silence", of the connections of a sender to the platform and of those to an endpoint, in one direction or both. The crossings have the event "silence" at each point: the process stops itself there until its connections to the platform are silent. A response that is lost on a silent connection counts as not given. The fault is planted again (posts of notices late, first over the spare connection).

--- a/internal/soak/crossings.go
+++ b/internal/soak/crossings.go
@@ -214,6 +214,9 @@
 		return occurred
 	}
 	eventsEnded := time.Now()
+	if points[x.point].trigger == byTraffic && len(events) == 1 && x.event == faultbuild.Silence {
+		return occurred // the sender goes on: its notices are due as ever
+	}
 	terminated := points[x.point].trigger == byTerm || events[faultbuild.Terminate]
 	if err := s.restoreService(began, eventsEnded, terminated, events[faultbuild.Kill],
 		points[x.point].trigger == byStart); err != nil {
@@ -313,6 +316,7 @@
 			}
 		}
 		predecessor.kill()
+		s.records.processTookOver(s.number, successor.startedAt)
 		s.setProcess(successor)
 		if successor.running() && s.answersPing(pingTimeout) {
 			return nil
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -1,15 +1,18 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"sync"
 	"time"
 
 	"cometrack/internal/standin/fate"
+	"cometrack/internal/standin/silence"
 )
 
 // instance is one endpoint in discovery's list. Its JSON names are those of the platform's protocol.
@@ -162,6 +165,12 @@
 	ms, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
 	hold := time.Duration(ms) * time.Millisecond
 	receivedAt := time.Now()
+	answered := false
+	defer func() {
+		if !answered && silence.IsSilent(connectionOf(r)) {
+			d.records.callUnanswered(sender, receivedAt, hold)
+		}
+	}()
 	if !d.awaitWorker(w, r) {
 		return
 	}
@@ -180,6 +189,10 @@
 	}
 	if first.Serve(w, r, encode(list)) {
 		http.NewResponseController(w).Flush()
+		if silence.IsSilent(connectionOf(r)) {
+			return
+		}
+		answered = true
 		d.callAnswered(sender)
 		d.records.listWritten(sender, time.Now(), list.Generation)
 	}
@@ -195,6 +208,20 @@
 	f.Serve(w, r, encode(d.currentList()))
 }
 
+// lostCall matches a call for the list in the bytes of a connection, with its hold in milliseconds.
+var lostCall = regexp.MustCompile(`^GET /discovery/hosts\?from=[0-9]+&hold_ms=([0-9]+) `)
+
+// recordLostCall records a call for the list if the bytes that were lost on a silent connection are one: the sender
+// can't tell it from a call that is held.
+func (d *discovery) recordLostCall(sender int, lost []byte) {
+	match := lostCall.FindSubmatch(lost)
+	if match == nil {
+		return
+	}
+	ms, _ := strconv.Atoi(string(match[1]))
+	d.records.callUnanswered(sender, time.Now(), time.Duration(ms)*time.Millisecond)
+}
+
 // callAnswered resets the count of a sender's consecutive failures, after a list was written to it.
 func (d *discovery) callAnswered(sender int) {
 	d.mu.Lock()
@@ -261,11 +288,17 @@
 
 // platformServer serves discovery and the receiver of notices to one sender, at an address of its own.
 type platformServer struct {
-	addr   string // host and port
-	server *http.Server
-	ln     net.Listener
+	addr        string // host and port
+	server      *http.Server
+	connections *silence.Listener
 }
 
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// connectionOf returns the connection of a request to a platformServer.
+func connectionOf(r *http.Request) net.Conn { return r.Context().Value(connectionKey{}).(net.Conn) }
+
 // listen starts to serve the platform at addr to the sender with a number. It returns an error if it can't
 // listen there.
 func (p *platform) listen(sender int, addr string) (*platformServer, error) {
@@ -276,14 +309,19 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/discovery/hosts", func(w http.ResponseWriter, r *http.Request) { p.discovery.serveList(sender, w, r) })
 	mux.HandleFunc("/v1/outcomes", p.outcomes)
-	out := &platformServer{addr: addr, server: &http.Server{Handler: mux}, ln: ln}
-	go out.server.Serve(ln)
+	keepConnection := func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, c)
+	}
+	out := &platformServer{addr: addr, server: &http.Server{Handler: mux, ConnContext: keepConnection},
+		connections: silence.Listen(ln)}
+	out.connections.OnDiscard = func(b []byte) { p.discovery.recordLostCall(sender, b) }
+	go out.server.Serve(out.connections)
 	return out, nil
 }
 
 // retire stops accepting connections at once and closes the open ones after oldAddressGrace, as discovery does
 // when it moves.
 func (d *platformServer) retire() {
-	d.ln.Close()
+	d.connections.Close()
 	time.AfterFunc(oldAddressGrace, func() { d.server.Close() })
 }
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cometrack/internal/standin/silence"
 )
 
 // behavior is how an endpoint treats calls. Only healthy is no fault.
@@ -40,7 +42,7 @@
 type endpoint struct {
 	name    string // instanceId in discovery's list
 	dest    int    // number of the destination
-	ln      net.Listener
+	ln      *silence.Listener
 	records *Records
 
 	mu       sync.Mutex
@@ -56,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{name: name, dest: dest, ln: ln, records: records,
+	e := &endpoint{name: name, dest: dest, ln: silence.Listen(ln), records: records,
 		rng: rand.New(rand.NewPCG(seed, 7)), conns: map[net.Conn]bool{}}
 	go e.serve()
 	return e, nil
@@ -76,13 +78,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for c := range e.conns {
-		if t, ok := c.(*net.TCPConn); ok && reset {
-			t.SetLinger(0)
+		if reset {
+			resetAtClose(c)
 		}
 		c.Close()
 	}
 }
 
+// resetAtClose makes the end of a connection a reset.
+func resetAtClose(c net.Conn) {
+	if t, ok := c.(interface{ SetLinger(int) error }); ok {
+		t.SetLinger(0)
+	}
+}
+
 // close stops listening and resets all connections.
 func (e *endpoint) close() {
 	e.ln.Close()
@@ -162,11 +171,15 @@
 		return false
 	}
 	reply := func(status int, headers string) bool {
-		at := time.Now()
+		at, sentBefore := time.Now(), silence.SentBytes(c)
 		_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%sContent-Length: 0\r\n\r\n", status, headers)
 		if err != nil {
 			return ended()
 		}
+		if silence.SentBytes(c) == sentBefore { // the sender learns nothing of the response
+			closedWithin(c, r, time.Minute)
+			return ended()
+		}
 		e.records.withLock(func() { call.Status, call.AnsweredAt = status, at })
 		return true
 	}
@@ -185,12 +198,13 @@
 	case overloaded:
 		return reply(503, "")
 	case rateLimited:
+		if silence.IsSilent(c) {
+			return reply(429, "")
+		}
 		e.records.waitRequested(id, e.dest, requestedWait)
 		return reply(429, fmt.Sprintf("X-Come-Back-Ms: %d\r\n", requestedWait.Milliseconds()))
 	case resetting:
-		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
-		}
+		resetAtClose(c)
 		return ended()
 	case partialResponse:
 		c.Write([]byte("HTTP/1.1 2"))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -16,6 +16,7 @@
 
 	"cometrack/internal/standin/faultbuild"
 	"cometrack/internal/standin/program"
+	"cometrack/internal/standin/silence"
 )
 
 const (
@@ -46,8 +47,9 @@
 
 	loseFolder bool // planted fault: its folder is emptied at each restart
 
-	connectsDelayed  atomic.Bool               // connections to the platform are delayed
-	discoveryMovedAt atomic.Pointer[time.Time] // time of the last move of discovery; nil for none
+	platformConnections atomic.Pointer[silence.Listener] // of the current platformServer
+	connectsDelayed     atomic.Bool                      // connections to the platform are delayed
+	discoveryMovedAt    atomic.Pointer[time.Time]        // time of the last move of discovery; nil for none
 
 	restartMu sync.Mutex // held during a restart, a crossing, a reload and a move of discovery
 	mu        sync.Mutex // guards current
@@ -58,6 +60,7 @@
 // uses.
 type process struct {
 	*program.Program
+	startedAt  time.Time
 	stop       chan struct{}  // closed to stop these goroutines
 	goroutines sync.WaitGroup // these goroutines
 }
@@ -150,6 +153,7 @@
 func (s *sender) launch() error {
 	p, err := s.start()
 	if err == nil {
+		s.records.processStarted(s.number, p.startedAt, s.knownGeneration)
 		s.setProcess(p)
 	}
 	return err
@@ -165,14 +169,14 @@
 // start starts a process of the sender, and the goroutines that resume it after holds, sample what it uses
 // and read its log. It does not make the process the current one.
 func (s *sender) start() (*process, error) {
-	s.records.processStarted(s.number, time.Now(), s.knownGeneration)
+	startedAt := time.Now()
 	started, err := program.Launch(s.binary, []string{fmt.Sprint("BALANCER_NAME=n", s.number), "BALANCER_LISTEN=" + s.addr,
 		"BALANCER_DISCOVERY=" + s.platformServer.addr, "BALANCER_STATE=" + s.dir, "BALANCER_CONFIG=" + s.configPath,
 		"COMETRACK_LOG=debug", s.controls.Env(), faultbuild.TraceVariable + "=" + s.tracePath})
 	if err != nil {
 		return nil, err
 	}
-	p := &process{Program: started, stop: make(chan struct{})}
+	p := &process{Program: started, startedAt: startedAt, stop: make(chan struct{})}
 	pid := p.Cmd.Process.Pid
 	rng := rand.New(rand.NewPCG(uint64(pid), 0))
 	sampler := newUsageSampler(s.number, pid)
@@ -180,6 +184,11 @@
 	p.goroutines.Go(func() {
 		faultbuild.Resume(pid, func() time.Duration {
 			from := time.Now()
+			if s.controls.TakeSilence() {
+				s.silencePlatform(silence.Both)
+				s.records.addStall(s.number, from.Add(-5*time.Millisecond), from.Add(5*time.Millisecond))
+				return 0
+			}
 			d := maxStall/3 + time.Duration(rng.Int64N(int64(maxStall*2/3)))
 			sampler.skipUntil(from.Add(d))
 			s.records.addStall(s.number, from.Add(-5*time.Millisecond), from.Add(d+5*time.Millisecond))
@@ -212,6 +221,9 @@
 // signal sends a signal to the current process.
 func (s *sender) signal(x syscall.Signal) { s.process().Signal(x) }
 
+// silencePlatform makes the sender's open connections to the platform fall silent in a direction.
+func (s *sender) silencePlatform(d silence.Direction) { s.platformConnections.Load().SilenceOpen(d) }
+
 // endsWithin waits for the current process to exit and reports whether it does so within a duration.
 func (s *sender) endsWithin(within time.Duration) bool { return s.process().endsWithin(within) }
 
--- a/internal/soak/judge_drain.go
+++ b/internal/soak/judge_drain.go
@@ -124,7 +124,7 @@
 	}
 	from := later(change.at, process.at)
 	if l.pushed {
-		return l.informedByAgent(s, process.at, from)
+		return l.informedByAgent(s, process.at, from, change.generation)
 	}
 	out := l.reachableFor(from, maxListDelay)
 	for _, w := range s.silent { // a change during an unanswered watch counts as known after its hold
@@ -147,9 +147,10 @@
 }
 
 // informedByAgent returns the time from which a sender, whose process was started at started, counts as
-// informed of what its agent has had since from: at once, except for a while after SIGHUP, or if the agent
-// stops answering before a new process can have called it.
-func (l *listRecords) informedByAgent(s *senderLists, started, from time.Time) time.Time {
+// informed of what its agent has had since from, the list of a generation: at once, except for a while after
+// SIGHUP, or if the agent stops answering before a new process can have called it, or if the sender's call has
+// fallen silent.
+func (l *listRecords) informedByAgent(s *senderLists, started, from time.Time, generation int64) time.Time {
 	for _, down := range l.down {
 		if down.From.After(started) && down.From.Before(started.Add(maxFirstCallDelay)) && !from.After(down.From) {
 			from = down.From.Add(time.Nanosecond)
@@ -161,6 +162,24 @@
 			out = l.reachableFor(by, 0)
 		}
 	}
+	for _, w := range s.silent {
+		until := w.began.Add(max(maxListDelay, w.hold+maxListDelayAfterHold))
+		if w.began.After(started) && !w.began.After(out) && until.After(out) {
+			out = earlier(until, s.writtenAfter(out, generation))
+		}
+	}
+	return out
+}
+
+// writtenAfter returns the first time after from at which a list of a generation, or of a later one, was
+// written to the sender; a time after the end of the run if there was none.
+func (s *senderLists) writtenAfter(from time.Time, generation int64) time.Time {
+	out := from.Add(24 * time.Hour)
+	for _, w := range s.written {
+		if w.generation >= generation && w.at.After(from) {
+			out = earlier(out, w.at)
+		}
+	}
 	return out
 }
 
@@ -235,6 +254,22 @@
 	})
 }
 
+// processTookOver records the start of a process that has taken over from the sender's process. It goes on with
+// the list that this one had, not with that in its configuration, which may be newer.
+func (r *Records) processTookOver(sender int, at time.Time) {
+	r.mu.Lock()
+	s := r.lists.sender(sender)
+	predecessor := s.starts[len(s.starts)-1]
+	generation := predecessor.generation
+	for _, w := range s.written {
+		if w.at.After(predecessor.at) && w.at.Before(at) {
+			generation = max(generation, w.generation)
+		}
+	}
+	r.mu.Unlock()
+	r.processStarted(sender, at, generation)
+}
+
 // processStarted records the start of a sender's process with a list of a generation in its configuration.
 func (r *Records) processStarted(sender int, at time.Time, generation int64) {
 	r.withLock(func() {
--- a/internal/soak/plant.go
+++ b/internal/soak/plant.go
@@ -90,6 +90,14 @@
 	{Name: "overlap lost with the process", Changes: []faultbuild.Change{
 		{File: "internal/core/core.go", Old: "	overlap := overlapAtStart(deps.Store.TermsInForce(), cfg.Settings, deps.Store.Clock().Now())", New: "	overlap := settingsInOverlap{}"},
 	}, Faults: aboutTerms},
+	// A notice without an answer is posted again late, and first over the connection that was open together with
+	// that of the first post.
+	{Name: "notice posted again over the spare connection", Changes: []faultbuild.Change{
+		{File: noticeSchedule, Old: "	minHedgeDelay = 80 * time.Millisecond", New: "	minHedgeDelay = 340 * time.Millisecond"},
+		{File: noticeSchedule, Old: "	maxHedgeDelay = 140 * time.Millisecond", New: "	maxHedgeDelay = 340 * time.Millisecond"},
+		{File: noticeSchedule, Old: "	slowInterval = 250 * time.Millisecond", New: "	slowInterval = 340 * time.Millisecond"},
+		{File: noticeSchedule, Old: "	if s.rounds == 1 && openCount == 1 {", New: "	if s.rounds < 0 && openCount == 1 {"},
+	}, Faults: []string{"endpoint", "silence"}},
 	// Connections to clients are shut down at their end, and their descriptors are kept.
 	{Name: "descriptor of an ended connection", Changes: []faultbuild.Change{
 		{File: clientConnections, Old: "			s.serve()\n			conn.Close()",
@@ -105,6 +113,9 @@
 // clientConnections is the file with the connections to clients, relative to the root of the module.
 const clientConnections = "internal/front/resp/clients.go"
 
+// noticeSchedule is the file with the times of the posts of notices, relative to the root of the module.
+const noticeSchedule = "internal/sink/notices/schedule.go"
+
 // pacing is the file with the intervals and timeouts of the calls for the list, relative to the root of the
 // module.
 const pacing = "internal/source/platform/poll/pace.go"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -160,6 +160,7 @@
 	if s.platformServer, err = f.platform.listen(i, platformAddress(o.Seed, i, 0)); err != nil {
 		return nil, err
 	}
+	s.platformConnections.Store(s.platformServer.connections)
 	if err := os.RemoveAll(s.dir); err != nil { // left by an earlier run with this seed
 		return nil, err
 	}
@@ -294,6 +295,7 @@
 		return err
 	}
 	s.platformServer = next
+	s.platformConnections.Store(next.connections)
 	if err := s.writeConfig(len(f.senders), f.pushed); err != nil {
 		return err
 	}
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"cometrack/internal/standin/silence"
 )
 
 // Options configure a run.
@@ -46,9 +48,11 @@
 //   - "late": connects of a sender are delayed for a while
 //   - "terms": a sender's classes, effects and number of attempts change by SIGHUP, up to four times in a row, and
 //     the sender may be killed, stopped or upgraded right after it
+//   - "silence": the open connections of a sender to the platform, or those to an endpoint, fall silent, in one
+//     direction or in both
 //   - "move": discovery of a sender moves to another address, up to three times in a row
 var faultKinds = []string{"endpoint", "connections", "discovery", "notices", "restart", "kill series", "reload", "clock",
-	"disk", "accept", "connect", "stall", "drain", "late", "move", "terms"}
+	"disk", "accept", "connect", "stall", "drain", "late", "move", "terms", "silence"}
 
 // script draws the faults of a run and returns their steps, not in the order of time.
 func (f *fleet) script(o Options) []step {
@@ -84,6 +88,8 @@
 		return rng.IntN(len(f.senders)/3 + 1)
 	case "clock", "stall", "late", "terms":
 		return len(f.senders)
+	case "silence":
+		return 3*len(f.senders) + len(f.endpoints)
 	}
 	return len(f.senders)/3 + 1
 }
@@ -184,6 +190,14 @@
 		return steps
 	case "terms":
 		return f.drawTermsFault(s, at, rng)
+	case "silence":
+		direction := []silence.Direction{silence.Both, silence.Both, silence.Received, silence.Sent}[rng.IntN(4)]
+		if rng.IntN(4) == 0 {
+			return []step{{at, fmt.Sprintf("connections to %s fall silent (%v)", e.name, direction),
+				func() { e.ln.SilenceOpen(direction) }}}
+		}
+		return []step{{at, fmt.Sprintf("connections of sender %d to the platform fall silent (%v)", s.number, direction),
+			func() { s.silencePlatform(direction) }}}
 	case "drain":
 		lifecycle := []string{"draining", "draining", unlisted}[rng.IntN(3)]
 		// Half of them last longer than a sender may take to learn of the change.
--- a/internal/standin/faultbuild/controls.go
+++ b/internal/standin/faultbuild/controls.go
@@ -49,6 +49,7 @@
 	fieldArmedSkip                   // passes of the point before the one at which the event occurs
 	fieldDelayProbability            // of a delayed connect
 	fieldUndelayedPort               // port to which connects are not delayed; 0 for none
+	fieldSilence                     // 1 if the process has stopped itself so that its connections can be silenced
 	fieldPassCounts           = 64   // first of the pass counts of the points
 )
 
--- a/internal/standin/faultbuild/overlay.go
+++ b/internal/standin/faultbuild/overlay.go
@@ -215,6 +215,9 @@
 		atomic.StoreInt64(&faultPage[16], 1)
 	case 5:
 		atomic.StoreInt64(&faultPage[17], 1)
+	case 6:
+		atomic.StoreInt64(&faultPage[23], 1)
+		faultStop()
 	}
 }
 
--- a/internal/standin/faultbuild/points.go
+++ b/internal/standin/faultbuild/points.go
@@ -27,11 +27,12 @@
 	Reload                       // SIGHUP
 	FailWrite                    // the next write at an offset fails
 	BreakConnection              // the next connection that is written to is shut down first
+	Silence                      // the process is stopped, and the harness silences its connections, see [Controls.TakeSilence]
 	EventCount                   // the number of events
 )
 
 // eventNames are the names of the events for reports, by number.
-var eventNames = [...]string{"hold", "kill", "terminate", "reload", "fail write", "break"}
+var eventNames = [...]string{"hold", "kill", "terminate", "reload", "fail write", "break", "silence"}
 
 // String returns the name of the event.
 func (e Event) String() string { return eventNames[e] }
@@ -53,6 +54,10 @@
 	return atomic.SwapInt64(&c.page[fieldArmedPoint], 0) != 0
 }
 
+// TakeSilence reports whether a process that uses the page has stopped itself for [Silence] since the last call. The
+// caller silences its connections, and then sends it SIGCONT.
+func (c *Controls) TakeSilence() bool { return atomic.SwapInt64(&c.page[fieldSilence], 0) != 0 }
+
 // Armed reports whether an event set by [Controls.Arm] is still to occur in a process that uses
 // the page. It is false once the event has occurred, after [Controls.Disarm], and if none was armed.
 func (c *Controls) Armed() bool { return c.get(fieldArmedPoint) != 0 }
--- a/internal/standin/silence/silence.go
+++ b/internal/standin/silence/silence.go
@@ -7,11 +7,15 @@
 	"math"
 	"net"
 	"sync"
+	"time"
 )
 
 // Direction is a direction of a connection, seen from the stand-in. Directions can be combined.
 type Direction int
 
+// String returns the direction, for reports.
+func (d Direction) String() string { return [...]string{"none", "received", "sent", "both"}[d&Both] }
+
 // Directions.
 const (
 	Received Direction = 1 << iota // from the peer to the stand-in
@@ -29,6 +33,9 @@
 // Listener accepts connections that can fall silent. Connections that are not told to, carry everything.
 type Listener struct {
 	net.Listener
+	// OnDiscard is called with the bytes of a peer that are not passed on; nil for none. It is set before the
+	// first Accept, and may be called concurrently.
+	OnDiscard func(b []byte)
 
 	mu       sync.Mutex
 	open     map[*conn]bool // accepted, and not ended by the peer or by the listener's Close
@@ -106,13 +113,47 @@
 	return err
 }
 
+// IsSilent reports whether a connection that a [Listener] has accepted carries nothing to the peer any more. It is
+// false for other connections.
+func IsSilent(c net.Conn) bool {
+	own, ok := c.(*conn)
+	if !ok {
+		return false
+	}
+	own.listener.mu.Lock()
+	defer own.listener.mu.Unlock()
+	return own.remaining.Sent == 0
+}
+
+// SentBytes returns the number of bytes that a connection which a [Listener] has accepted has carried to the peer; 0
+// for other connections.
+func SentBytes(c net.Conn) int64 {
+	own, ok := c.(*conn)
+	if !ok {
+		return 0
+	}
+	own.listener.mu.Lock()
+	defer own.listener.mu.Unlock()
+	return own.sent
+}
+
 // conn is a connection that falls silent once the rest of its limits is used up. listener.mu guards its
 // fields.
 type conn struct {
 	net.Conn
 	listener  *Listener
 	remaining Limits
-	closed    bool // by the stand-in
+	sent      int64 // bytes carried to the peer
+	closed    bool  // by the stand-in
+}
+
+// SetLinger sets what happens to unsent bytes at the end of the connection, as [net.TCPConn.SetLinger] does.
+func (c *conn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return net.UnknownNetworkError(c.Conn.LocalAddr().Network())
+	}
+	return tcp.SetLinger(seconds)
 }
 
 // use takes up to size bytes from what remains in a direction, and returns how many may pass.
@@ -131,6 +172,9 @@
 	for {
 		n, err := c.Conn.Read(b)
 		passed := c.use(&c.remaining.Received, n)
+		if passed < n && c.listener.OnDiscard != nil {
+			c.listener.OnDiscard(b[passed:n])
+		}
 		if passed > 0 || err != nil || len(b) == 0 {
 			return passed, err
 		}
@@ -140,6 +184,9 @@
 // Write sends the bytes that may pass. It reports all of them as written.
 func (c *conn) Write(b []byte) (int, error) {
 	passed := c.use(&c.remaining.Sent, len(b))
+	c.listener.mu.Lock()
+	c.sent += int64(passed)
+	c.listener.mu.Unlock()
 	if passed == 0 {
 		return len(b), nil
 	}
@@ -169,6 +216,7 @@
 
 // awaitPeer closes the connection once the peer has closed it.
 func (c *conn) awaitPeer() {
+	c.Conn.SetDeadline(time.Time{})
 	buf := make([]byte, 4096)
 	for {
 		if _, err := c.Conn.Read(buf); err != nil {
