Let measure crossings plant a fault in the program

Need: whether the crossings find a fault could not be tried: the planted faults were for the soak alone.

Change: measure crossings -plant NAME, with the names of measure plants.

--- a/cmd/measure/crossings.go
+++ b/cmd/measure/crossings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cometrack/internal/soak"
+	"cometrack/internal/standin/faultbuild"
 )
 
 // runCrossings runs the program as a fleet of processes under traffic, triggers every
@@ -23,6 +24,7 @@
 	faults := flags.String("faults", "endpoint,connections,drain,notices,late",
 		"kinds of faults beside the crossings, separated by commas")
 	dir := flags.String("dir", "", "folder for logs and state, which is kept; empty for a temporary one")
+	plant := flags.String("plant", "", "the name of a fault to plant in the program, see measure plants; empty for none")
 	verbose := flags.Bool("v", false, "print the crossings of each run in order")
 	flags.Parse(args)
 	workFolder, err := workDir(*dir)
@@ -32,8 +34,12 @@
 	if *dir == "" {
 		defer os.RemoveAll(workFolder)
 	}
+	changes, err := plantedChanges(*plant)
+	if err != nil {
+		return err
+	}
 	path := filepath.Join(workFolder, "cometrack")
-	if err := soak.Build(path); err != nil {
+	if err := soak.Build(path, changes...); err != nil {
 		return err
 	}
 	failed, total := 0, soak.NewCrossings()
@@ -57,3 +63,16 @@
 	}
 	return nil
 }
+
+// plantedChanges returns the source changes of the planted fault with a name; none for the empty name.
+func plantedChanges(name string) ([]faultbuild.Change, error) {
+	if name == "" {
+		return nil, nil
+	}
+	for _, p := range soak.Plants {
+		if p.Name == name && len(p.Changes) > 0 {
+			return p.Changes, nil
+		}
+	}
+	return nil, fmt.Errorf("no fault named %q is planted by changes of the source", name)
+}
