--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -5,7 +5,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -15,6 +19,9 @@
 	exitNotRun = 2
 )
 
+// maxRunTime bounds the run of a case.
+const maxRunTime = 110 * time.Second
+
 // world is what a case works with.
 type world struct {
 	rec     *recorder
@@ -31,6 +38,7 @@
 }
 
 func main() {
+	runtime.LockOSThread() // senders end with this thread
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD, from the root of the repository")
 		os.Exit(exitNotRun)
@@ -58,6 +66,18 @@
 	if err != nil {
 		return exitNotRun
 	}
+	time.AfterFunc(maxRunTime, func() {
+		fmt.Println("could not run: it took too long")
+		os.RemoveAll(dir)
+		os.Exit(exitNotRun)
+	})
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		os.RemoveAll(dir)
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[name](&world{rec: rec, root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0"})
 	if err != nil {
 		rec.printf("the case could not run: %v", err)
--- a/review/stand2/settings_case.go
+++ b/review/stand2/settings.go
@@ -47,7 +47,7 @@
 		p.set(e.up())
 		servers = append(servers, e)
 	}
-	before := settings()
+	before := lakesSettings()
 	for _, c := range before["classes"].([]any) {
 		c.(map[string]any)["aim_stretch"] = 0.5
 	}
@@ -88,6 +88,11 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	s.put(&message{id: "7f00000000000900", class: "status-update", dest: 2, deadline: 16 * time.Second, body: "status"})
+	for _, m := range messages {
+		if !m.taken() {
+			return nil, fmt.Errorf("message %s was not taken on", m.id)
+		}
+	}
 	time.Sleep(17 * time.Second)
 	if !s.running() {
 		return []string{"the sender has ended"}, nil
--- a/review/stand2/untried.go
+++ b/review/stand2/untried.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -74,9 +75,7 @@
 		return nil, err
 	}
 	p.set(first.up())
-	set := settings()
-	set["balancers"] = 3
-	s, err := newSender(w.rec, w.root, w.dir, p.addr, set, p.whole())
+	s, err := newSender(w.rec, w.root, w.dir, p.addr, lakesSettings(), p.whole())
 	if err != nil {
 		return nil, err
 	}
@@ -102,11 +101,12 @@
 		}
 	}
 	s.kill()
+	if w.trouble && len(untried) == 0 {
+		return nil, errors.New("no message was untried at the restart")
+	}
 	if w.trouble {
 		vanished.release()
-		addr := first.name
-		served := serveEndpoint(w.rec, addr, 1, vanished.listener, delivered)
-		first = served
+		first = serveEndpoint(w.rec, first.name, first.cell, vanished.listener, delivered)
 	}
 	time.Sleep(600 * time.Millisecond)
 	if err := s.start(); err != nil {
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -73,7 +73,6 @@
 	rec    *recorder
 	addr   string
 	server *http.Server
-	delay  time.Duration // of each answer of discovery
 
 	mu      sync.Mutex
 	list    []instance // listed now
@@ -153,7 +152,6 @@
 func (p *platform) serveList(w http.ResponseWriter, r *http.Request) {
 	from := r.URL.Query().Get("from")
 	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
-	time.Sleep(p.delay)
 	var answer endpointList
 	if from == "" {
 		answer = p.whole()
@@ -240,6 +238,7 @@
 	listener net.Listener
 	server   *http.Server
 	decide   func(id string) answer
+	atWaw    bool // listed as an integration of waw-outbound, otherwise as a partner of lakes-gas-sched
 
 	mu   sync.Mutex
 	runs []run
@@ -372,6 +371,7 @@
 	}
 	cmd := exec.Command("/bin/sh", "-c", "exec bin/cometrack")
 	cmd.Dir, cmd.Stdout, cmd.Stderr = s.root, log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the thread that starts it, that of main
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+filepath.Join(s.dir, "config.json"), "BALANCER_NAME=n1",
 		"BALANCER_LISTEN="+s.listen, "BALANCER_DISCOVERY="+s.config["discovery"].(string),
 		"BALANCER_STATE="+filepath.Join(s.dir, "state"), "TMPDIR="+filepath.Join(s.dir, "tmp"), "COMETRACK_LOG=debug")
@@ -389,6 +389,7 @@
 	return cmd, exited, nil
 }
 
+// start starts the sender.
 func (s *sender) start() (err error) {
 	s.cmd, s.exited, err = s.launch()
 	return err
@@ -418,6 +419,7 @@
 	<-s.exited
 }
 
+// running reports whether the process has not ended.
 func (s *sender) running() bool {
 	select {
 	case <-s.exited:
@@ -487,7 +489,10 @@
 }
 
 func (s *sender) putOn(c *client, m *message) {
-	list := fmt.Sprintf("c=%s,t=t1,d=%d,dest=%d", m.class, m.deadline.Milliseconds(), m.dest)
+	list := fmt.Sprintf("c=%s,d=%d,dest=%d", m.class, m.deadline.Milliseconds(), m.dest)
+	if tenants, ok := s.config["settings"].(map[string]any)["tenants"].([]any); ok && len(tenants) > 0 {
+		list += ",t=" + tenants[0].(map[string]any)["name"].(string)
+	}
 	if m.key != "" {
 		list += ",k=" + m.key
 	}
@@ -500,23 +505,13 @@
 	s.rec.printf("client: %s, class %s, partner %d, %v left: %s", m.id, m.class, m.dest, m.deadline, text)
 }
 
+// taken reports whether the sender has taken the message on.
 func (m *message) taken() bool {
 	return strings.HasPrefix(m.answer, "+") || strings.HasPrefix(m.answer, "$")
 }
 
-// settings returns the settings of a small deployment with the example's figures.
-func settings() map[string]any {
-	text := `{"balancers": 2, "charges": {"connection": 0.0, "cross_zone": 0.0, "handshake": 0.02, "late_fail": 0.03, "probe": 0.01, "waste": 0.08},
- "classes": [{"aim_s": 2.0, "deadline_s": 24.0, "group": "all", "idempotency": "dedup", "late_worth": 0.4, "name": "nomination", "stream": false, "window_s": 25.0, "worth": 1.0},
-  {"aim_s": 3.0, "deadline_s": 16.0, "group": "all", "idempotency": "fragile", "late_worth": 0.5, "name": "imbalance-payment", "stream": false, "window_s": 5.0, "worth": 3.0},
-  {"aim_s": 2.5, "deadline_s": 16.0, "group": "all", "idempotency": "retryable", "late_worth": 0.4, "name": "scheduled-quantity", "stream": false, "window_s": 5.0, "worth": 4.0}],
- "clients": {"marks_retry": false}, "counted_by": "request", "kind_of_service": "deliver", "layers": ["trading-partners"],
- "limits": {"conn_idle_s": 10.0, "connect_timeout_s": 1.5, "cpu_us_per_request": 0.0, "cpu_us_per_s": 656249, "max_attempts": 6, "max_open": 69, "max_retry_after_s": 2.0, "may_cancel": true, "multiplex": 1, "peers": false, "probing": true, "retry_after": true, "second_copies": false},
- "load_info": {"how": "off", "names": []}, "machine_types": ["interstate-pipeline", "local-shipper"], "me": 0, "membership_mode": "on_request", "over_share_worth": 0.2,
- "rules": {"answer_slack_s": 0.02, "ask_every_s": 10.0, "cold_from": 0.19, "drain_grace_s": 2.0, "fall_multiple": 2.0, "fall_s": 3.0, "warm_after_s": 14.0},
- "specifics": {"batch_by_kind": [1, 1], "call_slots": 6, "late": "halves", "notes": "", "report_x0": "", "report_x1": "", "separate_routes": [true, false], "turned_away_price": 0.03, "zone_fee": [0.01, 0.04]},
- "tenants": [{"name": "t1", "quota_rps": 18.0, "share": 1.0}],
- "tick_s": 0.005, "tier": 0, "weights": "nominal", "zone": 0, "zones": ["north-hall", "south-hall"]}`
+// parseSettings returns settings from their text.
+func parseSettings(text string) map[string]any {
 	var out map[string]any
 	if err := json.Unmarshal([]byte(text), &out); err != nil {
 		panic(err)
@@ -524,9 +519,49 @@
 	return out
 }
 
+// lakesSettings returns settings of a sender at lakes-gas-sched.
+func lakesSettings() map[string]any {
+	return parseSettings(`{"balancers": 3,
+ "charges": {"connection": 0.0, "cross_zone": 0.0, "handshake": 0.02, "late_fail": 0.03, "probe": 0.01, "waste": 0.08},
+ "classes": [
+  {"aim_s": 2.0, "deadline_s": 24.0, "group": "all", "idempotency": "dedup", "late_worth": 0.4, "name": "nomination", "stream": false, "window_s": 25.0, "worth": 1.0},
+  {"aim_s": 3.0, "deadline_s": 16.0, "group": "all", "idempotency": "fragile", "late_worth": 0.5, "name": "imbalance-payment", "stream": false, "window_s": 5.0, "worth": 3.0},
+  {"aim_s": 2.5, "deadline_s": 16.0, "group": "all", "idempotency": "retryable", "late_worth": 0.4, "name": "scheduled-quantity", "stream": false, "window_s": 5.0, "worth": 4.0}],
+ "clients": {"marks_retry": false}, "counted_by": "request", "kind_of_service": "deliver", "layers": ["trading-partners"],
+ "limits": {"conn_idle_s": 10.0, "connect_timeout_s": 1.5, "cpu_us_per_request": 0.0, "cpu_us_per_s": 656249, "max_attempts": 6, "max_open": 69, "max_retry_after_s": 2.0,
+  "may_cancel": true, "multiplex": 1, "peers": false, "probing": true, "retry_after": true, "second_copies": false},
+ "load_info": {"how": "off", "names": []}, "machine_types": ["interstate-pipeline", "local-shipper"], "me": 0, "membership_mode": "on_request", "over_share_worth": 0.2,
+ "rules": {"answer_slack_s": 0.02, "ask_every_s": 10.0, "cold_from": 0.19, "drain_grace_s": 2.0, "fall_multiple": 2.0, "fall_s": 3.0, "warm_after_s": 14.0},
+ "specifics": {"batch_by_kind": [1, 1], "call_slots": 6, "late": "halves", "notes": "", "report_x0": "", "report_x1": "", "separate_routes": [true, false],
+  "turned_away_price": 0.03, "zone_fee": [0.01, 0.04]},
+ "tenants": [{"name": "lakeshore-gas", "quota_rps": 18.0, "share": 1.0}],
+ "tick_s": 0.005, "tier": 0, "weights": "nominal", "zone": 0, "zones": ["north-hall", "south-hall"]}`)
+}
+
+// wawSettings returns settings of a sender at waw-outbound, where lists are pushed.
+func wawSettings() map[string]any {
+	return parseSettings(`{"balancers": 4,
+ "charges": {"connection": 0.0, "cross_zone": 0.0, "handshake": 0.04, "late_fail": 0.028, "probe": 0.0091, "waste": 0.03},
+ "classes": [
+  {"aim_s": 1.5, "deadline_s": 8.0, "group": "all", "idempotency": "retryable", "late_worth": 0.1, "name": "occupancy", "stream": false, "window_s": 5.0, "worth": 1.0},
+  {"aim_s": 2.0, "deadline_s": 16.0, "group": "all", "idempotency": "fragile", "late_worth": 0.4, "name": "charges", "stream": false, "window_s": 5.0, "worth": 1.0}],
+ "clients": {"marks_retry": true}, "counted_by": "request", "kind_of_service": "deliver", "layers": ["customer-systems"],
+ "limits": {"conn_idle_s": 5.0, "connect_timeout_s": 1.5, "cpu_us_per_request": 0.0, "cpu_us_per_s": 525000, "max_attempts": 8, "max_open": 100, "max_retry_after_s": 3.0,
+  "may_cancel": true, "multiplex": 1, "peers": false, "probing": true, "retry_after": true, "second_copies": false},
+ "load_info": {"how": "inline", "names": ["x0", "x1"]}, "machine_types": ["hr-suites", "calendars", "slack-hooks"], "me": 0, "membership_mode": "pushed",
+ "rules": {"answer_slack_s": 0.02, "cold_from": 0.19, "drain_grace_s": 0.5, "fall_multiple": 2.0, "fall_s": 1.5, "warm_after_s": 11.0},
+ "specifics": {"batch_by_kind": [10, 1, 1], "call_slots": 12, "late": "line", "notes": "", "report_x0": "share of the limit that is left", "report_x1": "the limit in calls a second",
+  "separate_routes": [false, false, false], "turned_away_price": 0.0, "zone_fee": [0.0]},
+ "tenants": [], "tick_s": 0.005, "tier": 0, "weights": "rough", "zone": 0, "zones": ["waw1"]}`)
+}
+
 // up returns the entry of an endpoint in discovery's list.
 func (e *endpoint) up() instance { return e.entry("up") }
 
 func (e *endpoint) entry(lifecycle string) instance {
-	return instance{ID: e.name, HostPort: e.addr, Zone: "north-hall", Kind: "local-shipper", Cell: e.cell, Lifecycle: lifecycle, Weight: 20}
+	x := instance{ID: e.name, HostPort: e.addr, Zone: "north-hall", Kind: "local-shipper", Cell: e.cell, Lifecycle: lifecycle, Weight: 20}
+	if e.atWaw {
+		x.Zone, x.Kind, x.Weight = "waw1", "calendars", 2.4
+	}
+	return x
 }
