--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -35,6 +35,7 @@
 	"address":  addressTakenOver,
 	"untried":  untriedGivenUp,
 	"settings": settingsReplaced,
+	"refused":  refusesAll,
 }
 
 func main() {
