--- a/review/stand2/address.go
+++ b/review/stand2/address.go
@@ -2,11 +2,18 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 	"time"
 )
 
-// addressTakenOver restarts a sender with SIGKILL where lists are pushed. While it is away, an endpoint goes and a new
+const (
+	handInAfter  = 250 * time.Millisecond  // SIGTERM: new connections go on coming for 0.2 to 0.4 s
+	killAfter    = 4200 * time.Millisecond // SIGTERM: no sooner than 3.7 s
+	startAfter   = 600 * time.Millisecond  // the time of SIGKILL
+	graceIsOver  = 600 * time.Millisecond  // after the change was told: 0.5 s and 50 ms
+	afterRestart = 6 * time.Second         // in which calls are judged
+)
+
+// addressTakenOver restarts a sender as planned, where lists are pushed. While it is away, an endpoint goes and a new
 // endpoint of another partner comes up at its address. The agent has both changes before the sender starts, and answers at
 // once.
 func addressTakenOver(w *world) ([]string, error) {
@@ -14,7 +21,6 @@
 	if err != nil {
 		return nil, err
 	}
-	var open atomic.Bool // set once partner 1 is below its limit again, after the restart
 	var servers []*endpoint
 	add := func(name string, cell int, addr string, decide func(string) answer) (*endpoint, error) {
 		e, err := newEndpoint(w.rec, name, cell, addr, decide)
@@ -25,12 +31,7 @@
 		return e, err
 	}
 	delivered := func(string) answer { return answer{status: 200, delay: 50 * time.Millisecond} }
-	one, err := add("s-one", 1, "", func(string) answer {
-		if open.Load() {
-			return answer{status: 200, delay: 50 * time.Millisecond}
-		}
-		return answer{status: 429, wait: 900}
-	})
+	one, err := add("s-one", 1, "", delivered)
 	if err != nil {
 		return nil, err
 	}
@@ -51,22 +52,29 @@
 		return nil, err
 	}
 	time.Sleep(time.Second)
+	terminatedAt := s.terminate()
+	time.Sleep(time.Until(terminatedAt.Add(handInAfter)))
 	dest := map[string]int{}
-	for i := range 3 {
+	for i := range 5 { // a clump for partner 1
 		m := &message{id: fmt.Sprintf("7f00000000000%03d", i), class: "charges", dest: 1, deadline: 16 * time.Second, body: "charge"}
 		s.put(m)
 		if !m.taken() {
 			return nil, fmt.Errorf("message %s was not taken on", m.id)
 		}
 		dest[m.id] = m.dest
-		time.Sleep(100 * time.Millisecond)
 	}
-	s.kill() // the file of its next start holds the list that it has now
-	open.Store(true)
+	select { // the file of its next start holds the list that it has now
+	case <-s.exited:
+	case <-time.After(time.Until(terminatedAt.Add(killAfter))):
+		s.kill()
+	}
+	if called := len(one.all()); called >= len(dest) {
+		return nil, fmt.Errorf("all %d messages were sent before the process ended", called)
+	}
 	if w.trouble {
 		time.Sleep(50 * time.Millisecond)
 		p.set(one.entry("removed"))
-		time.Sleep(600 * time.Millisecond) // the grace after the change is over
+		time.Sleep(graceIsOver)
 		one.stop()
 		replacement, err := add("s-one-b", 1, "", delivered)
 		if err != nil {
@@ -77,17 +85,15 @@
 			return nil, err
 		}
 		p.set(replacement.up(), taker.up())
-		time.Sleep(750 * time.Millisecond)
-	} else {
-		time.Sleep(1400 * time.Millisecond)
 	}
+	time.Sleep(time.Until(terminatedAt.Add(killAfter + startAfter)))
 	if err := s.start(); err != nil {
 		return nil, err
 	}
 	if err := s.waitReady(10 * time.Second); err != nil {
 		return nil, err
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(afterRestart)
 	var broken []string
 	for _, e := range servers {
 		for _, r := range e.all() {
--- a/review/stand2/refused.go
+++ b/review/stand2/refused.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,7 +115,7 @@
 		time.Sleep(usualInterval)
 	}
 	if !s.running() {
-		return []string{"the sender has ended"}, nil
+		return nil, errors.New("the sender has ended")
 	}
 	calls, accepted := 0, 0
 	for _, e := range servers {
@@ -126,8 +128,13 @@
 	for _, m := range judged {
 		if m.taken() {
 			accepted++
+		} else if !strings.HasPrefix(m.answer, "-BUSY") {
+			return nil, fmt.Errorf("message %s was not refused, but: %s", m.id, m.answer)
 		}
 	}
+	if w.trouble && refused.Load() == 0 {
+		return nil, errors.New("no command of the bad clients was refused")
+	}
 	w.rec.printf("since %v after the bad clients had gone: %d messages of usual clients, %d taken on, %d calls", recoveryAllowed, len(judged), accepted, calls)
 	if len(judged) < leastRefused || judged[len(judged)-1].sentAt.Sub(judged[0].sentAt) < leastRefusing {
 		return nil, fmt.Errorf("only %d messages were handed in", len(judged))
--- a/review/stand2/settings.go
+++ b/review/stand2/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"syscall"
@@ -95,7 +96,7 @@
 	}
 	time.Sleep(17 * time.Second)
 	if !s.running() {
-		return []string{"the sender has ended"}, nil
+		return nil, errors.New("the sender has ended")
 	}
 	var broken []string
 	for _, m := range messages {
@@ -103,6 +104,9 @@
 		for _, e := range servers {
 			calls += len(e.runsOf(m.id))
 		}
+		if calls == 0 {
+			return nil, fmt.Errorf("message %s was never sent", m.id)
+		}
 		if calls > 1 {
 			broken = append(broken, fmt.Sprintf("message %s must not be repeated, and was sent %d times: the first call may have run (500)", m.id, calls))
 		}
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -419,6 +419,13 @@
 	<-s.exited
 }
 
+// terminate sends SIGTERM and returns when.
+func (s *sender) terminate() time.Time {
+	s.rec.printf("sender: SIGTERM")
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	return time.Now()
+}
+
 // running reports whether the process has not ended.
 func (s *sender) running() bool {
 	select {
