Answer a request that is cut short to make room, as its last byte may cross the close

Cause: a connection whose request stands still is closed to make room, or to free a slot for large requests, without a word, as if it were idle. The client may write the last byte before the close arrives, or while the connection lingers, where bytes are discarded. closeSlowLarge also did not look at bytes that had arrived and were not read yet, as pickIdle does; after a stall of the process the whole request may be there.

Evidence: TestSlowLargeRequestCrossesClose (60 requests whose last byte is written around the close): 24 of the first 34 had no response before (the output was cut there), and both cases of TestPartialRequestEvicted none.

Why it works: the part of a request that was read is answered with -BUSY before the side is closed, whichever byte comes later, so there is no moment at which its client can be left without a final answer; nothing of it was executed. A request with unread bytes keeps its slot (TestArrivedLargeRequestKeepsItsSlot).

Measured: all tests of the front pass; the first two tests fail without the change.

--- a/internal/front/resp/large_requests.go
+++ b/internal/front/resp/large_requests.go
@@ -10,8 +10,8 @@
 // errNoLargeSlot reports that too many large requests are pending.
 var errNoLargeSlot = errors.New("too many large requests")
 
-// acquireLargeSlot waits for a slot for a large request, at most drainTimeout, or crowdedSlotWait. If there is none, a request that has one
-// and comes slowly gives it up.
+// acquireLargeSlot waits for a slot for a large request, at most drainTimeout, or crowdedSlotWait. If there is none, a
+// request that has one and comes slowly gives it up.
 func (s *session) acquireLargeSlot() error {
 	select {
 	case s.front.largeSlots <- struct{}{}:
@@ -43,20 +43,22 @@
 }
 
 // closeSlowLarge asks the goroutine of the connection whose slow request has had a slot for large requests for longest to
-// close it. It does nothing if there is none.
+// close it. It does nothing if there is none. A request whose next bytes have arrived is not slow: the process may have
+// been held up.
 func (c *Front) closeSlowLarge() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	var slowest *session
 	for s := range c.sessions {
-		if s.hasLargeSlot && s.lingeringSince.IsZero() && s.roomConn().IsSlow(now) &&
-			(slowest == nil || s.requestBegan.Before(slowest.requestBegan)) {
+		if !s.hasLargeSlot || !s.lingeringSince.IsZero() || !s.roomConn().IsSlow(now) || s.hasUnreadBytes() {
+			continue
+		}
+		if slowest == nil || s.requestBegan.Before(slowest.requestBegan) {
 			slowest = s
 		}
 	}
 	if slowest != nil {
-		slowest.startLingering()
-		slowest.conn.SetReadDeadline(now) // wakes its reader
+		slowest.wakeToClose()
 	}
 }
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -61,11 +61,23 @@
 	if s == nil {
 		return false
 	}
-	s.startLingering()
-	s.conn.SetReadDeadline(time.Now()) // wakes its reader
+	s.wakeToClose()
 	return true
 }
 
+// wakeToClose makes the reader of an active connection close it, unless a complete request arrives before that. The
+// caller holds the lock of the front.
+func (s *session) wakeToClose() {
+	s.startLingering()
+	s.conn.SetReadDeadline(time.Now())
+}
+
+// hasUnreadBytes reports whether bytes have been received that the reader has not read yet.
+func (s *session) hasUnreadBytes() bool {
+	_, data := netutil.Peek(s.conn)
+	return data
+}
+
 // abortLingering closes the connection that has lingered longest, without waiting for its client. It reports whether
 // there was one; those with pending requests are kept. The caller holds the lock.
 func (c *Front) abortLingering() bool {
@@ -109,7 +121,7 @@
 		if i < 0 {
 			return nil
 		}
-		if _, data := netutil.Peek(list[i].conn); !data {
+		if !list[i].hasUnreadBytes() {
 			return list[i]
 		}
 		list, conns = slices.Delete(list, i, i+1), slices.Delete(conns, i, i+1)
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -243,7 +243,8 @@
 			s.reason = closedTimeout
 			s.enqueue(response{text: responseTimedOut, largeSlot: largeSlot})
 			return
-		case errors.Is(err, os.ErrDeadlineExceeded) && active: // cut short by the drain: the client may retry elsewhere
+		case errors.Is(err, os.ErrDeadlineExceeded): // cut short: its last byte may arrive during the close
+			s.reason = s.reasonAfterWait(err)
 			s.enqueue(response{text: formatBusy(0), largeSlot: largeSlot})
 			return
 		}
