Keep accepted messages after a reset unless a second copy of them would do harm

What callers saw: 20 clients send 20 requests each at once, read all responses, and the network resets the connections.

Cause: withdrawUnheard takes each response of the last 0.6 s before a reset for unread. A reset by the network and one by a client that closes with responses unread look the same, so a message that is owed was given up on a guess.

Why it works: a second copy of a safe or keyed message does no harm, so such a message stays if its response was written before the connection broke (permit.ResponseRead). An unsafe one is returned as before, since its client may hand it in again under another ID and it must not run twice; its client is told. What could not be answered at all is withdrawn whatever its effect. A message is marked to end with its attempt only while one is out.

Measured: TestWithdrawOfMessagesThatMayBeKnown fails without the rule (a safe and a keyed message are withdrawn), and passes with it. That unsafe messages are returned after a reset by the network within 0.6 s stays open.

--- a/internal/core/withdraw.go
+++ b/internal/core/withdraw.go
@@ -9,16 +9,18 @@
 
 // withdrawEvent asks for the end of an accepted message whose client has left without the response.
 type withdrawEvent struct {
-	id       string
-	response chan<- bool // buffered
+	id        string
+	mayBeRead bool        // the client may have read the response
+	response  chan<- bool // buffered
 }
 
 // Withdraw ends an accepted message as returned, because its client has left without the response and may hand it in
-// again under another ID. It returns false if an attempt may have run or is being sent, if the message has been submitted
-// again since, or if it is in the backlog. One that is being sent ends as returned if it turns out that it has not run.
-func (c *Core) Withdraw(id string) bool {
+// again under another ID. mayBeRead is whether the response was written before the connection broke. Withdraw returns false
+// if package permit does not allow it, or if the message is in the backlog. One that is being sent ends as returned if it
+// turns out that it has not run.
+func (c *Core) Withdraw(id string, mayBeRead bool) bool {
 	response := make(chan bool, 1)
-	if !c.post(withdrawEvent{id, response}) {
+	if !c.post(withdrawEvent{id, mayBeRead, response}) {
 		return false
 	}
 	select {
@@ -32,10 +34,12 @@
 // withdraw handles a withdrawEvent. The end is written in the step that follows, which sends the response.
 func (c *Core) withdraw(ev withdrawEvent) {
 	p, entry := c.pending[ev.id], c.store.Entry(ev.id)
-	if p == nil || entry == nil || !p.stopBeforeSending(entry) {
-		if p != nil {
-			p.clientLeft = true
-		}
+	if p == nil || entry == nil {
+		ev.response <- false
+		return
+	}
+	if reason := p.stopBeforeSending(entry, ev.mayBeRead); reason != permit.Granted {
+		p.clientLeft = p.clientLeft || reason == permit.AttemptInFlight
 		ev.response <- false
 		return
 	}
@@ -66,23 +70,22 @@
 	return permit.Withdraw(state) == permit.Granted
 }
 
-// stopBeforeSending reports whether package permit allows the message to be withdrawn. An attempt that has not begun is
-// withheld, whatever the answer, and the scheduler decides anew if the message goes on.
-func (p *pendingMessage) stopBeforeSending(entry *journal.Entry) bool {
-	state := permit.Withdrawal{Ended: p.ended || entry.End != nil, MayHaveRun: entry.MayHaveRun, Resubmitted: p.resubmitted}
-	if permit.Withdraw(state) != permit.Granted {
-		return false
-	}
-	if p.attempt == nil {
-		return true
+// stopBeforeSending returns why package permit does not allow the message to be withdrawn; [permit.Granted] if it does.
+// Its attempt, if it has not begun, is withheld before the last look, whatever that gives; the scheduler decides anew if
+// the message goes on.
+func (p *pendingMessage) stopBeforeSending(entry *journal.Entry, mayBeRead bool) permit.Reason {
+	state := permit.Withdrawal{Ended: p.ended || entry.End != nil, MayHaveRun: entry.MayHaveRun, Resubmitted: p.resubmitted,
+		MayBeRead: mayBeRead, Repeatable: p.class != nil && p.class.Effect != logic.Unsafe}
+	if reason := permit.Withdraw(state); reason != permit.Granted || p.attempt == nil {
+		return reason
 	}
 	p.attempt.Withhold(permit.ClientLeft)
 	state.Sending = p.attempt.hasBegun()
-	if permit.Withdraw(state) != permit.Granted {
-		return false
+	if reason := permit.Withdraw(state); reason != permit.Granted {
+		return reason
 	}
 	p.cancel()
-	return true
+	return permit.Granted
 }
 
 // answerWithdrawals sends the responses to the withdrawals of this step. written reports whether their ends were
--- a/internal/core/withdraw_test.go
+++ b/internal/core/withdraw_test.go
@@ -24,11 +24,11 @@
 		t.Fatalf("%+v", a)
 	}
 	for id, want := range map[string]bool{"out": false, "twice": false, "unknown": false, "waits": true} {
-		if got := r.Withdraw(id); got != want {
+		if got := r.Withdraw(id, false); got != want {
 			t.Errorf("%s is withdrawn: %v, want %v", id, got, want)
 		}
 	}
-	if r.Withdraw("waits") {
+	if r.Withdraw("waits", false) {
 		t.Error("withdrawn twice")
 	}
 	if e := byhand.Await(t, r.fakeSink.added, "end"); e.ID != "waits" || e.State != message.Returned {
@@ -66,7 +66,7 @@
 	connecting := r.Core.transport.(*connectingTransport)
 	r.run()
 	r.submitAndWait(newMessage("a", "unsafe"))
-	if !r.Withdraw("a") {
+	if !r.Withdraw("a", false) {
 		t.Error("not withdrawn, though nothing was sent")
 	}
 	if e := byhand.Await(t, r.fakeSink.added, "end"); e.ID != "a" || e.State != message.Returned {
@@ -79,3 +79,31 @@
 		t.Error("sent after it was withdrawn")
 	}
 }
+
+// holdAttempt makes a rig with one slot, which an attempt takes, so that other messages wait.
+func holdAttempt(t *testing.T) *rig {
+	t.Helper()
+	cfg := testConfig()
+	cfg.Settings.Slots = 1
+	r := newRig(t, t.TempDir(), cfg).run()
+	r.submitAndWait(newMessage("out", "unsafe"))
+	out := byhand.Await(t, r.fakeTransport.attempts, "attempt")
+	t.Cleanup(func() { out.result <- Result{Outcome: logic.Cancelled} })
+	return r
+}
+
+// Guards against messages that are given up though their clients have read the acceptance: a connection broke, and
+// whether the response was read is not known. Only a message that must not run twice is withdrawn then.
+func TestWithdrawOfMessagesThatMayBeKnown(t *testing.T) {
+	r := holdAttempt(t)
+	for class, want := range map[string]bool{"safe": false, "keyed": false, "unsafe": true} {
+		r.submitAndWait(newMessage(class, class))
+		if got := r.Withdraw(class, true); got != want {
+			t.Errorf("a %s message is withdrawn: %v, want %v", class, got, want)
+		}
+		r.submitAndWait(newMessage(class+"-unsent", class))
+		if !r.Withdraw(class+"-unsent", false) {
+			t.Errorf("a %s message whose response was not written is not withdrawn", class)
+		}
+	}
+}
--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -46,8 +46,9 @@
 	// Tenant returns the tenant of a token. If it is nil, clients need no token and may submit for any tenant.
 	Tenant func(token string) (tenant string, ok bool)
 	// Withdraw ends an accepted message that was not tried, because its client has left without the response, and reports
-	// whether it has. It is nil where clients hand a message in again under the same ID.
-	Withdraw func(id string) bool
+	// whether it has. mayBeRead is whether the client may have read the response. It is nil where clients hand a message in
+	// again under the same ID.
+	Withdraw func(id string, mayBeRead bool) bool
 	// Ready reports whether PING is answered positively; nil for always.
 	Ready   func() bool
 	Monitor *permit.Monitor // counts connections closed with a request unanswered; nil for none
--- a/internal/front/resp/leaving.go
+++ b/internal/front/resp/leaving.go
@@ -28,10 +28,11 @@
 // resetPollInterval is the time between two looks for a reset.
 const resetPollInterval = 5 * time.Millisecond
 
-// acceptedMessage is a message whose acceptance has been written to the client.
+// acceptedMessage is a message whose acceptance has been written to the client, or could not be.
 type acceptedMessage struct {
 	id         string
 	answeredAt time.Time
+	written    bool // the connection was not reset yet: the client may have read the response
 }
 
 // clientLeft reports whether the client has closed the connection, or its side of it.
@@ -54,16 +55,16 @@
 	}
 	switch s.hangup() {
 	case netutil.Reset: // nobody reads the response; see withdrawUnheard
-		s.accepted = append(s.accepted, acceptedMessage{id, time.Now()})
+		s.accepted = append(s.accepted, acceptedMessage{id, time.Now(), false})
 		return ""
 	case netutil.EndedInput:
-		if s.front.opts.Withdraw(id) {
+		if s.front.opts.Withdraw(id, false) {
 			return formatBusy(0)
 		}
 	}
 	now := time.Now()
 	s.forgetHeard(now, unheardWindow)
-	s.accepted = append(s.accepted, acceptedMessage{id, now})
+	s.accepted = append(s.accepted, acceptedMessage{id, now, true})
 	return formatResult(submitted)
 }
 
@@ -105,7 +106,7 @@
 	var all sync.WaitGroup // together, as each waits for a step of the core
 	for _, m := range s.accepted {
 		all.Go(func() {
-			if s.front.opts.Withdraw(m.id) {
+			if s.front.opts.Withdraw(m.id, m.written) {
 				withdrawn.Add(1)
 			}
 		})
--- a/internal/front/resp/leaving_test.go
+++ b/internal/front/resp/leaving_test.go
@@ -9,6 +9,7 @@
 
 	"cometrack/internal/core"
 	"cometrack/internal/message"
+	"cometrack/internal/netutil"
 	"cometrack/internal/standin/byhand"
 )
 
@@ -20,6 +21,7 @@
 	waiting   []chan<- core.SubmitResponse
 	submitted []string
 	withdrawn map[string]bool
+	mayBeRead map[string]bool // of the messages that were withdrawn
 }
 
 func (c *pausedCore) Submit(m *message.Message, result chan<- core.SubmitResponse) {
@@ -32,10 +34,11 @@
 	result <- core.SubmitResponse{}
 }
 
-func (c *pausedCore) withdraw(id string) bool {
+func (c *pausedCore) withdraw(id string, mayBeRead bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.withdrawn[id] = true
+	c.mayBeRead[id] = mayBeRead
 	return true
 }
 
@@ -59,7 +62,7 @@
 // servePaused starts a front with a paused core.
 func servePaused(t *testing.T, paused bool) (*Front, *pausedCore) {
 	t.Helper()
-	c := &pausedCore{paused: paused, withdrawn: map[string]bool{}}
+	c := &pausedCore{paused: paused, withdrawn: map[string]bool{}, mayBeRead: map[string]bool{}}
 	f := serve(t, Options{Withdraw: c.withdraw})
 	f.core = c
 	return f, c
@@ -181,3 +184,34 @@
 		t.Errorf("%d submitted, %d withdrawn", submitted, withdrawn)
 	}
 }
+
+// Guards against a withdrawal that does not say whether the client may have read the response: it may have if the
+// response was written before the connection broke.
+func TestWithdrawalSaysWhetherTheResponseWasWritten(t *testing.T) {
+	for name, paused := range map[string]bool{"written": false, "not written": true} {
+		t.Run(name, func(t *testing.T) {
+			f, backend := servePaused(t, paused)
+			c := dial(t, f)
+			fmt.Fprint(c.conn, puts(2))
+			byhand.WaitUntil(t, "submissions", func() bool { submitted, _ := backend.counts(); return submitted == 2 })
+			if !paused {
+				byhand.WaitUntil(t, "responses", func() bool { _, data := netutil.Peek(c.conn); return data })
+			}
+			c.conn.(*net.TCPConn).SetLinger(0)
+			c.conn.Close()
+			byhand.WaitUntil(t, "reset", func() bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				for s := range f.sessions {
+					return s.clientLeft()
+				}
+				return true
+			})
+			backend.resume()
+			awaitNoSessions(t, f)
+			if len(backend.mayBeRead) != 2 || backend.mayBeRead["m0"] == paused {
+				t.Errorf("withdrawn, with whether the client may have read the response: %v", backend.mayBeRead)
+			}
+		})
+	}
+}
--- a/internal/permit/connection.go
+++ b/internal/permit/connection.go
@@ -25,6 +25,8 @@
 	MayHaveRun  bool // an attempt may have run
 	Sending     bool // an attempt is being sent, or has no outcome yet
 	Resubmitted bool // another submission of it has been answered as accepted
+	MayBeRead   bool // its response was written before the connection broke: the client may have read it
+	Repeatable  bool // a second copy of it, under another ID, does no harm
 }
 
 // Withdraw returns why a message may not be withdrawn.
@@ -38,6 +40,8 @@
 		return AttemptInFlight
 	case w.Resubmitted:
 		return Resubmitted
+	case w.MayBeRead && w.Repeatable:
+		return ResponseRead
 	}
 	return Granted
 }
--- a/internal/permit/reason.go
+++ b/internal/permit/reason.go
@@ -25,13 +25,14 @@
 	EndpointMoved            // the endpoint has another address, or belongs to another destination
 	ClientLeft               // the client has left without the response, or before its request was executed
 	Resubmitted              // another submission of the message has been answered as accepted
+	ResponseRead             // the client may have read the response, and a second copy of the message does no harm
 	reasons
 )
 
 var reasonNames = [...]string{"granted", "message ended", "attempt out", "attempts used", "time up", "may have run",
 	"window over", "other zone", "called off", "wait told", "endpoint leaving", "lease reduced", "handed over",
 	"not written", "unanswered", "request arriving", "list unconfirmed", "endpoint moved",
-	"client left", "resubmitted"}
+	"client left", "resubmitted", "response read"}
 
 // String returns the name of the reason, or "unknown".
 func (r Reason) String() string {
