Answer a request sent once more by how its message has ended

Cause: a submission under a known ID is answered as accepted, whatever has become of the message.

Why it works: at the platform the response now says the end: -BUSY for returned, an error for failed, +OK for delivered and for what goes on. It is given after the write and the report of the step, so it can't overtake an end that the same step reports. An end that is not written yet does not count, as a process that starts after a crash would send the message. A process that has handed over forwards the end with the response. `cometrack serve` answers as before: its clients ask for the state under the same ID.

Measured: TestSubmissionAfterWithdrawal fails without the end in the response, and TestResponseToRequestOfEndedMessage tests what each end is answered with.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -137,6 +137,7 @@
 	backlog         loopBacklog   // pending messages that the scheduler does not hold
 	nextEvents      []logic.Event // for the next step
 	submissions     []submitEvent
+	duplicates      []submitEvent               // submissions of this step for messages that had been accepted before it
 	withdrawals     []withdrawEvent             // withdrawals of this step, to be answered once their ends are written
 	newMessages     map[string]*message.Message // new messages among the submissions, by ID
 	stateQueries    []stateQueryEvent
--- a/internal/core/inherit.go
+++ b/internal/core/inherit.go
@@ -208,7 +208,8 @@
 	msg := m.Message
 	c.Submit(&msg, response)
 	r := <-response
-	link.Send(&handover.SubmissionReply{Seq: m.Seq, Status: int(r.Status), RetryAfter: r.RetryAfter, Duplicate: r.Duplicate})
+	link.Send(&handover.SubmissionReply{Seq: m.Seq, Status: int(r.Status), RetryAfter: r.RetryAfter, Duplicate: r.Duplicate,
+		EndState: r.EndState})
 }
 
 // toUnixMicro converts a wall-clock time for the link; 0 for the zero time.
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -182,7 +182,8 @@
 	case *handover.SubmissionReply:
 		if ev, ok := r.submissions[m.Seq]; ok {
 			delete(r.submissions, m.Seq)
-			ev.respond(SubmitResponse{Status: SubmitStatus(m.Status), RetryAfter: m.RetryAfter, Duplicate: m.Duplicate})
+			ev.respond(SubmitResponse{Status: SubmitStatus(m.Status), RetryAfter: m.RetryAfter,
+				Duplicate: m.Duplicate, EndState: m.EndState})
 		}
 	case *handover.StateReply:
 		if query, ok := r.stateQueries[m.Seq]; ok {
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -42,6 +42,7 @@
 		c.performAction(work, a, responses, now)
 	}
 	c.reportEnds(err == nil)
+	c.answerDuplicates()
 	c.startAttempts(work, starts, err == nil)
 	c.releaseBodies()
 	clear(c.backlog.spilledIDs)
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -27,6 +27,9 @@
 	Status     SubmitStatus
 	RetryAfter time.Duration // with Busy: delay after which the client may retry; 0 if unknown
 	Duplicate  bool          // with Accepted: the message had been accepted before
+	// EndState is, with Duplicate, how the message has ended and was notified, of package message; empty otherwise.
+	// RetryAfter is then the delay that was notified.
+	EndState string
 }
 
 // Submit submits a message that has passed [Core.Check]. The response is sent as soon as the message is in the journal
@@ -74,7 +77,7 @@
 			if p := c.pending[m.ID]; p != nil {
 				p.resubmitted = true
 			}
-			ev.respond(SubmitResponse{Status: Accepted, Duplicate: true})
+			c.duplicates = append(c.duplicates, ev) // its end may be reported in this step
 		}
 		return
 	}
@@ -122,6 +125,25 @@
 	c.nextEvents = append(c.nextEvents, event)
 }
 
+// answerDuplicates sends the responses to the submissions of this step for messages that had been accepted before it.
+func (c *Core) answerDuplicates() {
+	for _, ev := range c.duplicates {
+		ev.respond(c.duplicateResponse(ev.msg.ID))
+	}
+	clear(c.duplicates)
+	c.duplicates = c.duplicates[:0]
+}
+
+// duplicateResponse returns the response to another submission of a message. An end that is not reported yet does not
+// count: a process that starts after a crash might not know it.
+func (c *Core) duplicateResponse(id string) SubmitResponse {
+	response := SubmitResponse{Status: Accepted, Duplicate: true}
+	if s := c.state(id); s.Name != "" && s.IsFinal() {
+		response.EndState, response.RetryAfter = s.Name, s.RetryAfter
+	}
+	return response
+}
+
 // immediateResponses returns the responses, by ID, to new messages that the scheduler ends in the step in which they
 // were submitted. These messages are not accepted.
 func (c *Core) immediateResponses(actions []logic.Action) map[string]SubmitResponse {
--- a/internal/core/withdraw_test.go
+++ b/internal/core/withdraw_test.go
@@ -107,3 +107,37 @@
 		}
 	}
 }
+
+// Guards against a message that is lost as its client is told that it is accepted when it has ended as returned: the
+// client sends the request again on another connection, with the same ID.
+func TestSubmissionAfterWithdrawal(t *testing.T) {
+	r := holdAttempt(t)
+	r.submitAndWait(newMessage("a", "unsafe"))
+	if !r.Withdraw("a", false) {
+		t.Fatal("not withdrawn")
+	}
+	if got := r.submitAndWait(newMessage("a", "unsafe")); got.EndState != message.Returned {
+		t.Errorf("response %+v after the withdrawal", got)
+	}
+	if got := r.submitAndWait(newMessage("out", "unsafe")); got.EndState != "" || !got.Duplicate {
+		t.Errorf("response %+v to a message that is out", got)
+	}
+}
+
+// While the disk fails a withdrawn message may still come back with the next process, so its end is not told in a
+// response either; the notice follows.
+func TestSubmissionAfterWithdrawalThatIsNotWritten(t *testing.T) {
+	r := holdAttempt(t)
+	r.submitAndWait(newMessage("a", "unsafe"))
+	r.store.setFailing(true)
+	if r.Withdraw("a", false) {
+		t.Error("withdrawn though the end was not written")
+	}
+	if got := r.submitAndWait(newMessage("a", "unsafe")); got.Status != Accepted || got.EndState != "" {
+		t.Errorf("response %+v while the disk fails", got)
+	}
+	r.store.setFailing(false)
+	if e := byhand.Await(t, r.fakeSink.added, "end"); e.ID != "a" || e.State != message.Returned {
+		t.Errorf("end %+v", e)
+	}
+}
--- a/internal/front/resp/commands.go
+++ b/internal/front/resp/commands.go
@@ -28,7 +28,15 @@
 const maxNames = 64
 
 // formatResult encodes the response to a submitted message.
-func formatResult(result core.SubmitResponse) string {
+func (c *Front) formatResult(result core.SubmitResponse) string {
+	if c.opts.Withdraw != nil { // a client sends a request again only if it has had no response
+		switch result.EndState {
+		case message.Returned:
+			return formatBusy(result.RetryAfter)
+		case message.Failed:
+			return responseFailed
+		}
+	}
 	switch result.Status {
 	case core.Accepted:
 		return responseOK
--- a/internal/front/resp/leaving.go
+++ b/internal/front/resp/leaving.go
@@ -51,7 +51,7 @@
 // withdrawn. It is called by the writing goroutine.
 func (s *session) respondSubmitted(id string, submitted core.SubmitResponse) string {
 	if s.front.opts.Withdraw == nil || submitted.Status != core.Accepted || submitted.Duplicate {
-		return formatResult(submitted)
+		return s.front.formatResult(submitted)
 	}
 	switch s.hangup() {
 	case netutil.Reset: // nobody reads the response; see withdrawUnheard
@@ -65,7 +65,7 @@
 	now := time.Now()
 	s.forgetHeard(now, unheardWindow)
 	s.accepted = append(s.accepted, acceptedMessage{id, now, true})
-	return formatResult(submitted)
+	return s.front.formatResult(submitted)
 }
 
 // forgetHeard drops the messages whose acceptance was written longer than window before a time.
--- a/internal/front/resp/leaving_test.go
+++ b/internal/front/resp/leaving_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"cometrack/internal/core"
 	"cometrack/internal/message"
@@ -215,3 +216,26 @@
 		})
 	}
 }
+
+// endedCore answers each submission as one of a message that had ended in a state.
+type endedCore struct {
+	acceptingCore
+	state string
+}
+
+func (c endedCore) Submit(_ *message.Message, result chan<- core.SubmitResponse) {
+	result <- core.SubmitResponse{Duplicate: true, EndState: c.state, RetryAfter: 200 * time.Millisecond}
+}
+
+// Guards against a client that is told +OK for a message that has ended as returned or failed, and waits for its end:
+// its first request had no response, and it has sent it once more.
+func TestResponseToRequestOfEndedMessage(t *testing.T) {
+	for state, want := range map[string]string{message.Returned: "-BUSY 200", message.Failed: "-ERR failed",
+		message.Delivered: "+OK", "": "+OK"} {
+		f := serve(t, Options{Withdraw: func(string, bool) bool { return false }})
+		f.core = endedCore{state: state}
+		if got := dial(t, f).do("MSG.PUT", "0", "id", "c=safe,d=9000,dest=1", "x"); got != want {
+			t.Errorf("%q: got %q, want %q", state, got, want)
+		}
+	}
+}
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -80,6 +80,7 @@
 	Status     int           `cbor:"2,keyasint"`
 	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
 	Duplicate  bool          `cbor:"4,keyasint,omitempty"`
+	EndState   string        `cbor:"5,keyasint,omitempty"`
 }
 
 // StateRequest requests the state of a message.
