Soak clients whose connections break, slow clients, crowds and signals in series

Slow clients are in crowds of more than the slots for large requests.

The judge now asks for a response to each request of which a part was read and whose last byte was written before the client saw the end; it lets no request be accepted after the notice of its end; and it finds repeatable messages that are returned untried within 0.1 s of a reset that came after their response.

Three planted faults stand for them.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -25,6 +25,7 @@
 	addr             string         // address of the sender for clients
 	destinationCount int            // messages go to the destinations from 0 to one less than this
 	fillDescriptors  bool           // idle clients use up its descriptors: new connections may end unread
+	crowd            bool           // many clients write slowly to it
 	records          *Records       // where the messages and their responses are recorded
 	messageCount     atomic.Int64   // messages composed so far; the next number makes a message ID unique
 	wg               sync.WaitGroup // running clients
@@ -44,6 +45,9 @@
 	{"cut", 1, (*clients).cut},
 	{"fresh", 1, (*clients).fresh},
 	{"leaving", 1, (*clients).leaving},
+	{"broken", 1, (*clients).broken},
+	{"resending", 1, (*clients).resending},
+	{"slow", 1, (*clients).slow},
 }
 
 // idleClientCount is the number of idle clients of a sender whose file descriptors they have to use up.
@@ -54,7 +58,11 @@
 func (c *clients) start(ctx context.Context, seed uint64) {
 	n := uint64(0)
 	for _, k := range clientKinds {
-		for range k.count {
+		count := k.count
+		if c.crowd && k.name == "slow" {
+			count = slowClientCount
+		}
+		for range count {
 			n++
 			rng := rand.New(rand.NewPCG(seed, n))
 			c.wg.Go(func() {
@@ -106,6 +114,15 @@
 // compose returns a random message and the text of its request. The message is not recorded before
 // [clients.write].
 func (c *clients) compose(kind string, rng *rand.Rand) (m *Message, text []byte) {
+	bodyBytes := 0
+	if rng.IntN(20) == 0 {
+		bodyBytes = 5000
+	}
+	return c.composeWithBody(kind, rng, bodyBytes)
+}
+
+// composeWithBody is compose for a body of so many bytes; 0 for a short one.
+func (c *clients) composeWithBody(kind string, rng *rand.Rand, bodyBytes int) (m *Message, text []byte) {
 	class := classes[rng.IntN(len(classes))]
 	lifetime := []time.Duration{400 * time.Millisecond, time.Second,
 		2500 * time.Millisecond, 4 * time.Second}[rng.IntN(4)] +
@@ -115,8 +132,8 @@
 	opts := fmt.Sprintf("c=%s,t=acme,d=%d,k=k-%s,dest=%d",
 		class, lifetime.Milliseconds(), m.ID, m.dest)
 	body := "body of " + m.ID
-	if rng.IntN(20) == 0 {
-		body = strings.Repeat("x", 5000)
+	if bodyBytes > 0 {
+		body = strings.Repeat("x", bodyBytes)
 	}
 	text = []byte("*5\r\n$7\r\nMSG.PUT\r\n")
 	for _, arg := range []string{"0000", m.ID, opts, body} {
@@ -142,6 +159,7 @@
 	m.WrittenAt = time.Now()
 	m.Deadline = m.WrittenAt.Add(m.lifetime)
 	m.port, m.dialed, m.requestEnd = x.port, x.dialed, x.written+int64(requestBytes)
+	m.requestStart = m.requestEnd - int64(requestBytes)
 	c.records.addMessage(m)
 	x.SetWriteDeadline(time.Now().Add(time.Second))
 	n, err := x.Write(text)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -240,64 +240,6 @@
 	}
 }
 
-// restart restarts the process. A planned restart sends SIGTERM and, after killDelay at the earliest,
-// SIGKILL; an unplanned one sends SIGKILL at once. For each of lifetimes the process is then started and
-// killed after that time, before the final start. The function between, if not nil, runs before the final
-// start.
-//
-// It returns when the sender is ready again, or an error if a process can't be started or does not become
-// ready.
-func (s *sender) restart(planned bool, lifetimes []time.Duration, between func()) error {
-	s.restartMu.Lock()
-	defer s.restartMu.Unlock()
-	from := time.Now()
-	if planned {
-		s.signal(syscall.SIGTERM)
-		if s.endsWithin(killDelay) {
-			if err := s.exitStatus(); err != nil {
-				s.records.addFault("sender %d: ended with %v after SIGTERM", s.number, err)
-			}
-			time.Sleep(time.Until(from.Add(killDelay)))
-		}
-	}
-	s.kill()
-	s.records.clearWaits(s.number)
-	for _, lifetime := range lifetimes {
-		time.Sleep(startDelay)
-		if err := s.launch(); err != nil {
-			return err
-		}
-		time.Sleep(lifetime)
-		s.kill()
-		s.records.clearWaits(s.number)
-	}
-	if between != nil {
-		between()
-	}
-	if s.loseFolder {
-		if err := os.RemoveAll(s.dir); err != nil {
-			return err
-		}
-		if err := os.MkdirAll(s.dir, 0o700); err != nil {
-			return err
-		}
-	}
-	time.Sleep(startDelay)
-	started := time.Now()
-	if err := s.launch(); err != nil {
-		return err
-	}
-	if err := s.process().Ready(); err != nil {
-		s.records.addFault("sender %d: %v", s.number, err)
-		return err
-	}
-	if took := time.Since(started); took > maxReadyTime {
-		s.records.addFault("sender %d: ready after %v", s.number, took)
-	}
-	s.records.addOutage(s.number, from, time.Now())
-	return nil
-}
-
 // afterMove is how long connections to the platform are not delayed after a move of discovery. The operators'
 // pages allow delayed connections to endpoints only, and after a move no earlier connection to the platform is
 // open.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -10,15 +10,16 @@
 
 // Limits of the protocol, as the operators' manual gives them, and allowances for the observation.
 const (
-	timeSlack      = 50 * time.Millisecond   // added to each time limit, since times are observed at sockets
-	lostAfter      = 500 * time.Millisecond  // after its deadline, a message without an end counts as lost
-	maxNoticeDelay = 300 * time.Millisecond  // after its deadline, its end has to be notified or is late
-	readyGrace     = 1500 * time.Millisecond // after a sender is ready, before notices count as overdue again
-	waitGrace      = 100 * time.Millisecond  // from the request for a wait until calls violate it
-	maxUnreadAge   = 250 * time.Millisecond  // a request older than this when its connection ends could have been read
-	maxCloseDelay  = 20 * time.Millisecond   // by which an endpoint may observe the end of a connection late
-	answerTimeout  = 400 * time.Millisecond  // clients give up on a response 1 s after twice this time
-	maxLeftDelay   = 300 * time.Millisecond  // from the end of a client until its messages are not sent any more
+	timeSlack       = 50 * time.Millisecond   // added to each time limit, since times are observed at sockets
+	lostAfter       = 500 * time.Millisecond  // after its deadline, a message without an end counts as lost
+	maxNoticeDelay  = 300 * time.Millisecond  // after its deadline, its end has to be notified or is late
+	readyGrace      = 1500 * time.Millisecond // after a sender is ready, before notices count as overdue again
+	waitGrace       = 100 * time.Millisecond  // from the request for a wait until calls violate it
+	maxUnreadAge    = 250 * time.Millisecond  // a request older than this when its connection ends could have been read
+	maxCloseDelay   = 20 * time.Millisecond   // by which an endpoint may observe the end of a connection late
+	answerTimeout   = 400 * time.Millisecond  // clients give up on a response 1 s after twice this time
+	maxGivenUpDelay = 100 * time.Millisecond  // from the reset of a connection until a notice that it may be the cause of
+	maxLeftDelay    = 300 * time.Millisecond  // from the end of a client until its messages are not sent any more
 )
 
 // answerPattern matches the complete responses of the protocol.
@@ -69,10 +70,12 @@
 			continue // no rule applies to such a message after this
 		}
 		r.judgeEnd(&out, m, noise, add)
+		judgeKnownEnd(m, add)
 		attempts := 0
 		if effect, most, ok := r.bindingTerms(m); ok {
 			m.Effect, attempts = effect, most
 		}
+		judgeGivenUp(m, add)
 		judgeAttempts(m, attempts, add)
 		judgeCalls(m, r.stalls[m.Sender], window, noise, add)
 		r.lists.judgeDrain(m, noise, add)
@@ -126,8 +129,16 @@
 		add(m, "closed with no answer %v after the request was read", m.ClosedAt.Sub(at).Round(time.Millisecond))
 		return
 	}
-	age := m.ClosedAt.Sub(m.WrittenAt) - overlap(r.stalls[m.Sender], m.WrittenAt, m.ClosedAt)
-	if age > maxUnreadAge+noise && !r.killedBetween(m.Sender, m.WrittenAt, m.ClosedAt) {
+	if at := r.requestBegunAt(m); !at.IsZero() && !r.killedBetween(m.Sender, at, m.ClosedAt) {
+		add(m, "closed with no answer %v after a part of the request was read", m.ClosedAt.Sub(at).Round(time.Millisecond))
+		return
+	}
+	writtenAt := m.WrittenAt
+	if m.resentAt.After(writtenAt) {
+		writtenAt = m.resentAt
+	}
+	age := m.ClosedAt.Sub(writtenAt) - overlap(r.stalls[m.Sender], writtenAt, m.ClosedAt)
+	if age > maxUnreadAge+noise && !r.killedBetween(m.Sender, writtenAt, m.ClosedAt) {
 		add(m, "closed with no answer %v after the request", age.Round(time.Millisecond))
 	}
 }
@@ -209,6 +220,33 @@
 	}
 }
 
+// judgeKnownEnd checks that a request that was sent once more is not answered as accepted if its message had ended
+// without a delivery before that.
+func judgeKnownEnd(m *Message, add func(*Message, string, ...any)) {
+	if m.resentAt.IsZero() || !m.Accepted() || m.Delivered() {
+		return
+	}
+	for _, n := range m.Notices {
+		if n.At.Before(m.resentAt) {
+			add(m, "accepted %v after its notice %s", m.AnsweredAt.Sub(n.At).Round(time.Millisecond), n.State)
+			return
+		}
+	}
+}
+
+// judgeGivenUp checks that a message is not returned untried because its connection broke after its client had read the
+// response, unless a second copy of it does harm.
+func judgeGivenUp(m *Message, add func(*Message, string, ...any)) {
+	if m.brokenAt.IsZero() || m.Effect == Unsafe || len(m.Calls) > 0 || len(m.Notices) == 0 {
+		return
+	}
+	n := m.Notices[0]
+	after := n.At.Sub(m.brokenAt)
+	if n.State == "returned" && after > 0 && after < maxGivenUpDelay && m.Deadline.Sub(n.At) > m.lifetime/2 {
+		add(m, "returned untried %v after its connection broke", after.Round(time.Millisecond))
+	}
+}
+
 // endDue returns when the end of a message has to be notified: at its deadline, or, if the sender is being
 // restarted when the notice would be overdue, readyGrace after it is ready again.
 func (r *Records) endDue(m *Message) time.Time {
--- a/internal/soak/plant.go
+++ b/internal/soak/plant.go
@@ -103,6 +103,19 @@
 		{File: "internal/front/resp/leaving.go", Old: "	hangup := netutil.PeerHangup(s.conn)", New: "	hangup := netutil.NotEnded"},
 		{File: "internal/front/resp/leaving.go", Old: "	if len(s.accepted) == 0 {", New: "	if true {"},
 	}, Faults: []string{"endpoint"}},
+	// A connection is closed without a response while a request arrives, to make room for another.
+	{Name: "closed within a request", Changes: []faultbuild.Change{
+		{File: "internal/front/resp/session.go", Old: "		case errors.Is(err, os.ErrDeadlineExceeded): // cut short",
+			New: "		case errors.Is(err, os.ErrDeadlineExceeded) && active: // cut short"},
+	}, Faults: []string{"endpoint"}},
+	// Messages of a connection that was reset are given up, whether or not their responses were read.
+	{Name: "given up after a reset", Changes: []faultbuild.Change{
+		{File: "internal/permit/connection.go", Old: "	case w.MayBeRead && w.Repeatable:", New: "	case false:"},
+	}, Faults: []string{"endpoint"}},
+	// A request that is sent once more is answered as accepted, though its message has ended.
+	{Name: "accepted after its end", Changes: []faultbuild.Change{
+		{File: "internal/core/submit.go", Old: "	if s := c.state(id); s.Name != \"\" && s.IsFinal() {", New: "	if s := c.state(id); false {"},
+	}, Faults: []string{"endpoint"}},
 	// A notice without an answer is posted again late, and first over the connection that was open together with
 	// that of the first post.
 	{Name: "notice posted again over the spare connection", Changes: []faultbuild.Change{
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -65,13 +65,16 @@
 	Calls       []*Call   // in the order in which the endpoints received them
 	Notices     []Notice  // in the order in which the platform received them
 
-	rawAnswer  string        // the response with its line end; empty for none
-	lifetime   time.Duration // from submission to the deadline
-	dest       int           // number of its destination
-	leftAt     time.Time     // when a client that leaves had closed its connection; zero for other clients
-	port       int           // local port of the client's connection
-	dialed     time.Time     // when the client began to connect
-	requestEnd int64         // offset of the end of its request, in bytes from the start of the connection
+	rawAnswer string        // the response with its line end; empty for none
+	lifetime  time.Duration // from submission to the deadline
+	dest      int           // number of its destination
+	leftAt    time.Time     // when a client that leaves had closed its connection; zero for other clients
+	port      int           // local port of the client's connection
+	dialed    time.Time     // when the client began to connect
+	// Offsets, in bytes from the start of the connection, of the last write of its request.
+	requestStart, requestEnd int64
+	resentAt                 time.Time // when its client sent the request once more, on a new connection; zero for never
+	brokenAt                 time.Time // when the network had reset its connection, with all responses read; zero for never
 }
 
 // Accepted reports whether the client got the response that the message is accepted.
@@ -235,18 +238,26 @@
 
 // requestReadAt returns when the sender had read the complete request of a message whose connection the
 // sender ended; zero if it never had, or if the harness broke the connection. The caller holds the lock.
-func (r *Records) requestReadAt(m *Message) time.Time {
+func (r *Records) requestReadAt(m *Message) time.Time { return r.readTime(m, m.requestEnd) }
+
+// readTime returns when the sender had read so many bytes of the connection of a message; zero if it never had before it
+// ended the connection, or if the harness broke it.
+func (r *Records) readTime(m *Message, bytes int64) time.Time {
 	for _, c := range r.traces[m.Sender] {
 		if c.Port == m.port && c.FirstSeen.After(m.dialed) && c.FirstSeen.Before(m.ClosedAt) {
 			if c.Broken {
 				return time.Time{}
 			}
-			return c.ReadTime(m.requestEnd)
+			return c.ReadTime(bytes)
 		}
 	}
 	return time.Time{}
 }
 
+// requestBegunAt returns when the sender had read the first byte of the request of a message, as requestReadAt does the
+// last one.
+func (r *Records) requestBegunAt(m *Message) time.Time { return r.readTime(m, m.requestStart+1) }
+
 // addStall records a period in which a process of a sender may have been held.
 func (r *Records) addStall(sender int, from, to time.Time) {
 	r.withLock(func() { r.stalls[sender] = append(r.stalls[sender], Interval{from, to}) })
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -53,6 +53,8 @@
 	Tolerance time.Duration
 	// IdleClients reports whether idle clients used up the descriptors of every fourth sender.
 	IdleClients bool
+	// Crowd reports whether many clients wrote slowly to every second sender.
+	Crowd bool
 	// Crossings are the events injected at points of the program; nil unless Options.Crossings is set.
 	Crossings *Crossings
 }
@@ -68,6 +70,7 @@
 	f.seed, f.platform = o.Seed, newPlatform(f.records, o.Seed)
 	rng := rand.New(rand.NewPCG(o.Seed, 2))
 	f.pushed, out.IdleClients = rng.IntN(2) == 0, rng.IntN(4) == 0
+	out.Crowd = rand.New(rand.NewPCG(o.Seed, 3)).IntN(3) == 0
 	f.platform.pushed, f.records.lists.pushed = f.pushed, f.pushed
 	listInterval := []time.Duration{400 * time.Millisecond, 10 * time.Second}[rng.IntN(2)]
 	for i := range destinationCount * endpointsPerDestination {
@@ -106,7 +109,7 @@
 	var clientGroups []*clients
 	for _, s := range f.senders {
 		c := &clients{sender: s.number, addr: s.addr, destinationCount: destinationCount,
-			fillDescriptors: out.IdleClients && s.number%4 == 0, records: f.records}
+			fillDescriptors: out.IdleClients && s.number%4 == 0, crowd: out.Crowd && s.number%2 == 1, records: f.records}
 		c.start(ctx, o.Seed*1000+uint64(s.number))
 		clientGroups = append(clientGroups, c)
 	}
@@ -333,10 +336,10 @@
 
 // Summary describes the result of the run with a seed in one line.
 func (r *Result) Summary(seed uint64) string {
-	return fmt.Sprintf("seed %d: %d messages, %d accepted, %d delivered, %d returned, %d failed, %d refused, %d errors, %d unanswered, %d late; idle clients %v; "+
+	return fmt.Sprintf("seed %d: %d messages, %d accepted, %d delivered, %d returned, %d failed, %d refused, %d errors, %d unanswered, %d late; idle clients %v, crowd %v; "+
 		"%d holds, %d accepts, %d writes, %d syncs, %d connects failed; noise %v; "+
 		"at most %d sockets and %d MB; %d violations",
 		seed, r.Messages, r.Accepted, r.Delivered, r.Returned, r.Failed, r.Refused, r.Errors, r.Unanswered, r.Late,
-		r.IdleClients, r.Faults.Holds, r.Faults.Accepts, r.Faults.Writes, r.Faults.Syncs, r.Faults.Connects,
+		r.IdleClients, r.Crowd, r.Faults.Holds, r.Faults.Accepts, r.Faults.Writes, r.Faults.Syncs, r.Faults.Connects,
 		r.Tolerance.Round(time.Millisecond), r.MostSockets, r.MostMemory/bytesPerMB, len(r.Violations))
 }
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -52,9 +52,10 @@
 //     direction or in both
 //   - "takeover", drawn only if it is named: a sender gets SIGTERM, and while it is away endpoints go and new ones of other destinations come up
 //     at their addresses
+//   - "signals": a sender gets SIGTERM, up to three more of SIGTERM and SIGHUP, then SIGKILL, and is started again
 //   - "move": discovery of a sender moves to another address, up to three times in a row
 var faultKinds = []string{"endpoint", "connections", "discovery", "notices", "restart", "kill series", "reload", "clock",
-	"disk", "accept", "connect", "stall", "drain", "late", "move", "terms", "silence"}
+	"disk", "accept", "connect", "stall", "drain", "late", "move", "terms", "silence", "signals"}
 
 // script draws the faults of a run and returns their steps, not in the order of time.
 func (f *fleet) script(o Options) []step {
@@ -126,7 +127,9 @@
 		offset := f.drawClockOffset(rng)
 		return []step{{at, fmt.Sprintf("sender %d gets SIGTERM, SIGKILL after %v, wall clock offset by %v at the start",
 			s.number, killDelay, offset), func() {
-			f.goRestart(func() error { return s.restart(true, nil, func() { s.controls.SetWallOffset(offset) }) })
+			f.goRestart(func() error {
+				return s.restart(restartPlan{planned: true, between: func() { s.controls.SetWallOffset(offset) }})
+			})
 		}}}
 	case "kill series":
 		var lifetimes []time.Duration
@@ -136,15 +139,23 @@
 		offset := f.drawClockOffset(rng)
 		return []step{{at, fmt.Sprintf("sender %d is killed, and again %v after starts, wall clock offset by %v at the last",
 			s.number, lifetimes, offset), func() {
-			f.goRestart(func() error { return s.restart(false, lifetimes, func() { s.controls.SetWallOffset(offset) }) })
+			f.goRestart(func() error {
+				return s.restart(restartPlan{lifetimes: lifetimes, between: func() { s.controls.SetWallOffset(offset) }})
+			})
 		}}}
+	case "signals":
+		signals := drawSignals(rng)
+		return []step{{at, fmt.Sprintf("sender %d gets SIGTERM, then %v, and SIGKILL after %v", s.number, signals, killDelay),
+			func() {
+				f.goRestart(func() error { return s.restart(restartPlan{planned: true, signals: signals}) })
+			}}}
 	case "reload":
 		terminate := rng.IntN(4) == 0
 		steps := []step{{at, fmt.Sprintf("sender %d gets SIGHUP", s.number), func() { f.reload(s) }}}
 		if terminate {
 			steps = append(steps, step{at + 2*time.Millisecond, fmt.Sprintf("sender %d gets SIGTERM during the reload",
 				s.number), func() {
-				f.goRestart(func() error { return s.restart(true, nil, nil) })
+				f.goRestart(func() error { return s.restart(restartPlan{planned: true}) })
 			}})
 		}
 		return steps
@@ -165,7 +176,7 @@
 		if rng.IntN(2) == 0 {
 			steps = append(steps, step{at + length - length/8, fmt.Sprintf("sender %d is killed while its disk fails",
 				s.number), func() {
-				f.goRestart(func() error { return s.restart(false, nil, nil) })
+				f.goRestart(func() error { return s.restart(restartPlan{}) })
 			}})
 		}
 		return steps
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -95,6 +95,20 @@
 		"inside a wait, held up": {func(m *Message, r *Records) {
 			m.Calls[0].InsideWait, r.stalls[0] = 200*time.Millisecond, []Interval{{at(-250), at(5)}}
 		}, ""},
+		"accepted after its notice": {func(m *Message, _ *Records) {
+			m.Calls, m.Notices, m.resentAt, m.AnsweredAt = nil, []Notice{{at(50), "returned"}}, at(60), at(61)
+		}, "accepted 11ms after its notice"},
+		"accepted before its notice": {func(m *Message, _ *Records) {
+			m.Calls, m.Notices, m.resentAt, m.AnsweredAt = nil, []Notice{{at(70), "returned"}}, at(60), at(61)
+		}, ""},
+		"given up after a reset": {func(m *Message, _ *Records) {
+			m.Effect, m.Calls, m.Notices = Safe, nil, []Notice{{at(90), "returned"}}
+			m.lifetime, m.brokenAt = time.Second, at(50)
+		}, "returned untried 40ms after its connection broke"},
+		"unsafe, given up after a reset": {func(m *Message, _ *Records) {
+			m.Effect, m.Calls, m.Notices = Unsafe, nil, []Notice{{at(90), "returned"}}
+			m.lifetime, m.brokenAt = time.Second, at(50)
+		}, ""},
 		"its client has left":        {func(m *Message, _ *Records) { m.Answer, m.ClientLeft, m.Calls = "", true, nil }, ""},
 		"a violation of the process": {func(_ *Message, r *Records) { r.faults = []string{"violation"} }, "process"},
 	} {
@@ -124,13 +138,14 @@
 		want   int
 	}{
 		"read":              {100, false, 0, 1},
-		"read in part":      {99, false, 0, 0},
+		"read in part":      {99, false, 0, 1},
+		"not read":          {50, false, 0, 0},
 		"broken":            {100, true, 0, 0},
 		"killed":            {100, false, 12, 0},
 		"killed long after": {100, false, 500, 1},
 	} {
 		r := newRecords()
-		r.addMessage(&Message{ID: "m", Effect: Safe, WrittenAt: at(10), Deadline: at(1000), ClosedAt: at(15), port: 7, dialed: at(0), requestEnd: 100})
+		r.addMessage(&Message{ID: "m", Effect: Safe, WrittenAt: at(10), Deadline: at(1000), ClosedAt: at(15), port: 7, dialed: at(0), requestStart: 50, requestEnd: 100})
 		r.setTrace(0, []*faultbuild.Connection{{Port: 7, FirstSeen: at(5), Reads: []faultbuild.Read{{At: at(11), TotalBytes: x.read}}, Broken: x.broken}})
 		if x.kill > 0 {
 			r.addKill(0, at(x.kill))
--- a/internal/soak/takeover.go
+++ b/internal/soak/takeover.go
@@ -23,7 +23,7 @@
 	var t takeover
 	return []step{
 		{at, fmt.Sprintf("sender %d gets SIGTERM, while endpoints %s and %s go", s.number, first.name, second.name),
-			func() { f.goRestart(func() error { return s.restart(true, nil, nil) }) }},
+			func() { f.goRestart(func() error { return s.restart(restartPlan{planned: true}) }) }},
 		{at + unlistAfter, "these endpoints go", func() { t = f.beginTakeover(first, second) }},
 		{at + relistAfter, "endpoints of other destinations come up at their addresses", func() { f.endTakeover(t) }},
 	}
--- a/internal/soak/terms.go
+++ b/internal/soak/terms.go
@@ -198,9 +198,9 @@
 	case 1:
 		lifetimes := []time.Duration{time.Duration(rng.IntN(300)) * time.Millisecond}[:rng.IntN(2)]
 		text, end = fmt.Sprintf("is killed, and again %v after starts", lifetimes),
-			func() error { return s.restart(false, lifetimes, nil) }
+			func() error { return s.restart(restartPlan{lifetimes: lifetimes}) }
 	case 2:
-		text, end = "gets SIGTERM", func() error { return s.restart(true, nil, nil) }
+		text, end = "gets SIGTERM", func() error { return s.restart(restartPlan{planned: true}) }
 	case 3:
 		text, end = "is upgraded", func() error { return f.upgradeSender(s, nil) }
 	case 4:
