Write the response of an accepted message also where the connection looks reset

What callers would see: an accepted message without a complete response (rule lost), on a connection that poll reports as hung up while it is open.

Cause: respondSubmitted left the response out if a look at the connection said that it is reset. A look decided, where the write tells for certain.

Why it works: the response is written in any case; a write to a connection that is reset fails without harm, and only such a failure now says that the client has certainly not read it.

--- a/internal/front/resp/leaving.go
+++ b/internal/front/resp/leaving.go
@@ -32,7 +32,7 @@
 type acceptedMessage struct {
 	id         string
 	answeredAt time.Time
-	written    bool // the connection was not reset yet: the client may have read the response
+	written    bool // the write of the response has succeeded: the client may have read it
 }
 
 // clientLeft reports whether the client has closed the connection, or its side of it.
@@ -53,21 +53,22 @@
 	if s.front.opts.Withdraw == nil || submitted.Status != core.Accepted || submitted.Duplicate {
 		return s.front.formatResult(submitted)
 	}
-	switch s.hangup() {
-	case netutil.Reset: // nobody reads the response; see withdrawUnheard
-		s.accepted = append(s.accepted, acceptedMessage{id, time.Now(), false})
-		return ""
-	case netutil.EndedInput:
-		if s.front.opts.Withdraw(id, false) {
-			return formatBusy(0)
-		}
+	if s.hangup() == netutil.EndedInput && s.front.opts.Withdraw(id, false) {
+		return formatBusy(0)
 	}
 	now := time.Now()
 	s.forgetHeard(now, unheardWindow)
-	s.accepted = append(s.accepted, acceptedMessage{id, now, true})
+	s.accepted = append(s.accepted, acceptedMessage{id: id, answeredAt: now})
 	return s.front.formatResult(submitted)
 }
 
+// responsesWritten records that all responses so far have been written to the connection.
+func (s *session) responsesWritten() {
+	for i := range s.accepted {
+		s.accepted[i].written = true
+	}
+}
+
 // forgetHeard drops the messages whose acceptance was written longer than window before a time.
 func (s *session) forgetHeard(at time.Time, window time.Duration) {
 	count := 0
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -417,7 +417,11 @@
 		return nil
 	}
 	s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return w.Flush()
+	err := w.Flush()
+	if err == nil {
+		s.responsesWritten()
+	}
+	return err
 }
 
 // responseHandled records that a pending request has been finished: its response was written or could not be.
