Log withdrawals, submissions that come again and requests cut short, with their reasons

For the next incident: the log named no message of those that were withdrawn or kept after a reset, nor why, and not that a request was answered before its end. All at level debug, with the IDs; denials are counted by reason as others are.

--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -128,7 +128,9 @@
 // answerDuplicates sends the responses to the submissions of this step for messages that had been accepted before it.
 func (c *Core) answerDuplicates() {
 	for _, ev := range c.duplicates {
-		ev.respond(c.duplicateResponse(ev.msg.ID))
+		response := c.duplicateResponse(ev.msg.ID)
+		c.log.Debug("submitted again", "id", ev.msg.ID, "end", response.EndState)
+		ev.respond(response)
 	}
 	clear(c.duplicates)
 	c.duplicates = c.duplicates[:0]
--- a/internal/core/withdraw.go
+++ b/internal/core/withdraw.go
@@ -40,9 +40,11 @@
 	}
 	if reason := p.stopBeforeSending(entry, ev.mayBeRead); reason != permit.Granted {
 		p.clientLeft = p.clientLeft || reason == permit.AttemptInFlight
+		c.monitor.CountDenied(reason, "withdraw", ev.id)
 		ev.response <- false
 		return
 	}
+	c.log.Debug("withdrawn", "id", ev.id, "response_written", ev.mayBeRead)
 	c.endWithdrawn(ev.id, p)
 	c.nextEvents = append(c.nextEvents, logic.ClientGone{ID: ev.id})
 	c.withdrawals = append(c.withdrawals, ev)
--- a/internal/front/resp/session.go
+++ b/internal/front/resp/session.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// logCutShort logs that a request which has arrived in part is answered without being read to its end.
+func (s *session) logCutShort() {
+	s.front.mu.Lock()
+	took := time.Since(s.requestBegan)
+	s.front.mu.Unlock()
+	s.front.log.Debug("request cut short", "remote", s.conn.RemoteAddr().String(), "reason", string(s.reason), "after", took)
+}
+
 // reasonAfterWait returns the reason for closing a connection whose wait for a request or whose read failed with err.
 func (s *session) reasonAfterWait(err error) closeReason {
 	s.front.mu.Lock()
@@ -245,6 +253,7 @@
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded): // cut short: its last byte may arrive during the close
 			s.reason = s.reasonAfterWait(err)
+			s.logCutShort()
 			s.enqueue(response{text: formatBusy(0), largeSlot: largeSlot})
 			return
 		}
