Tell returns by the scheduler from those after a reset in the soak's judge

The log shows that the scheduler returned it in a step of its own, 18 ms after those that were withdrawn: endMessage advises a delay in every such return, which the notice tells, and a withdrawal never does. The judge looks at that now; the case is allowed.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -236,7 +236,7 @@
 
 // judgeGivenUp checks that a message is not returned untried because its connection broke after its client had read the
 // response, unless a second copy of it does harm under any settings that the sender has had: those before the last ones
-// still bind for a while.
+// still bind for a while. A return by the scheduler, which advises when to come again, has another cause.
 func (r *Records) judgeGivenUp(m *Message, add func(*Message, string, ...any)) {
 	everUnsafe := slices.ContainsFunc(r.terms[m.Sender], func(c termsChange) bool { return c.terms.effects[m.Class] == Unsafe })
 	if m.brokenAt.IsZero() || m.Effect == Unsafe || everUnsafe || len(m.Calls) > 0 || len(m.Notices) == 0 {
@@ -244,7 +244,7 @@
 	}
 	n := m.Notices[0]
 	after := n.At.Sub(m.brokenAt)
-	if n.State == "returned" && after > 0 && after < maxGivenUpDelay && m.Deadline.Sub(n.At) > m.lifetime/2 {
+	if n.State == "returned" && n.AfterMS == 0 && after > 0 && after < maxGivenUpDelay && m.Deadline.Sub(n.At) > m.lifetime/2 {
 		add(m, "returned untried %v after its connection broke", after.Round(time.Millisecond))
 	}
 }
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -46,9 +46,13 @@
 // have to get lost, it waits until that changes or the sender gives up. It answers 400 to malformed JSON.
 func (o *noticeReceiver) receive(w http.ResponseWriter, r *http.Request) {
 	at := time.Now()
-	var lines []struct{ ID, State string }
+	type line struct {
+		ID, State string
+		AfterMS   int64 `json:"after_ms"`
+	}
+	var lines []line
 	for dec := json.NewDecoder(r.Body); dec.More(); {
-		var x struct{ ID, State string }
+		var x line
 		if err := dec.Decode(&x); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
@@ -56,7 +60,7 @@
 		lines = append(lines, x)
 	}
 	for _, x := range lines {
-		o.records.addNotice(x.ID, Notice{at, x.State})
+		o.records.addNotice(x.ID, Notice{at, x.State, x.AfterMS})
 	}
 	o.mu.Lock()
 	unanswered, changed := o.unanswered, o.changed
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -46,6 +46,9 @@
 type Notice struct {
 	At    time.Time // when its request was received
 	State string    // "returned" or "failed"
+	// AfterMS is after how many milliseconds the client may come again; 0 if the notice does not say. The scheduler always
+	// does.
+	AfterMS int64
 }
 
 // Message is the history of one message, as its client, the endpoints and the platform observed it.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,15 +63,15 @@
 	}{
 		"fine":       {func(*Message, *Records) {}, ""},
 		"no end":     {func(m *Message, _ *Records) { m.Calls = nil }, "lost: no end"},
-		"a late end": {func(m *Message, _ *Records) { m.Calls, m.Notices = nil, []Notice{{at(1700), "failed"}} }, "lost: its end"},
+		"a late end": {func(m *Message, _ *Records) { m.Calls, m.Notices = nil, []Notice{{At: at(1700), State: "failed"}} }, "lost: its end"},
 		"late, and being restarted": {func(m *Message, r *Records) {
-			m.Calls, m.Notices, r.outages[0] = nil, []Notice{{at(1700), "failed"}}, []Interval{{at(900), at(1200)}}
+			m.Calls, m.Notices, r.outages[0] = nil, []Notice{{At: at(1700), State: "failed"}}, []Interval{{at(900), at(1200)}}
 		}, ""},
 		"sent after its deadline": {func(m *Message, _ *Records) { m.Calls = []*Call{call(1200, 1210, 200)} }, "after its deadline"},
-		"sent after its notice":   {func(m *Message, _ *Records) { m.Notices = []Notice{{at(5), "failed"}} }, "after its notice"},
+		"sent after its notice":   {func(m *Message, _ *Records) { m.Notices = []Notice{{At: at(5), State: "failed"}} }, "after its notice"},
 		"returned and run": {func(m *Message, _ *Records) {
 			m.Calls[0] = call(10, 20, 500)
-			m.Notices = []Notice{{at(50), "returned"}}
+			m.Notices = []Notice{{At: at(50), State: "returned"}}
 		}, "returned after a call that ran"},
 		"ran twice":       {func(m *Message, _ *Records) { m.Calls = append(m.Calls, call(100, 110, 200)) }, "ran 2 times"},
 		"safe, ran twice": {func(m *Message, _ *Records) { m.Effect = Safe; m.Calls = append(m.Calls, call(100, 110, 200)) }, ""},
@@ -96,17 +96,21 @@
 			m.Calls[0].InsideWait, r.stalls[0] = 200*time.Millisecond, []Interval{{at(-250), at(5)}}
 		}, ""},
 		"accepted after its notice": {func(m *Message, _ *Records) {
-			m.Calls, m.Notices, m.resentAt, m.AnsweredAt = nil, []Notice{{at(50), "returned"}}, at(60), at(61)
+			m.Calls, m.Notices, m.resentAt, m.AnsweredAt = nil, []Notice{{At: at(50), State: "returned"}}, at(60), at(61)
 		}, "accepted 11ms after its notice"},
 		"accepted before its notice": {func(m *Message, _ *Records) {
-			m.Calls, m.Notices, m.resentAt, m.AnsweredAt = nil, []Notice{{at(70), "returned"}}, at(60), at(61)
+			m.Calls, m.Notices, m.resentAt, m.AnsweredAt = nil, []Notice{{At: at(70), State: "returned"}}, at(60), at(61)
 		}, ""},
 		"given up after a reset": {func(m *Message, _ *Records) {
-			m.Effect, m.Calls, m.Notices = Safe, nil, []Notice{{at(90), "returned"}}
+			m.Effect, m.Calls, m.Notices = Safe, nil, []Notice{{At: at(90), State: "returned"}}
 			m.lifetime, m.brokenAt = time.Second, at(50)
 		}, "returned untried 40ms after its connection broke"},
+		"returned with advice after a reset": {func(m *Message, _ *Records) {
+			m.Effect, m.Calls, m.Notices = Safe, nil, []Notice{{At: at(90), State: "returned", AfterMS: 1000}}
+			m.lifetime, m.brokenAt = time.Second, at(50)
+		}, ""},
 		"unsafe, given up after a reset": {func(m *Message, _ *Records) {
-			m.Effect, m.Calls, m.Notices = Unsafe, nil, []Notice{{at(90), "returned"}}
+			m.Effect, m.Calls, m.Notices = Unsafe, nil, []Notice{{At: at(90), State: "returned"}}
 			m.lifetime, m.brokenAt = time.Second, at(50)
 		}, ""},
 		"its client has left":        {func(m *Message, _ *Records) { m.Answer, m.ClientLeft, m.Calls = "", true, nil }, ""},
--- a/internal/soak/terms_test.go
+++ b/internal/soak/terms_test.go
@@ -40,7 +40,7 @@
 		for i := range c.calls {
 			m.Calls = append(m.Calls, &Call{At: at(c.written + 10 + 20*i), Ran: true, Status: 500, AnsweredAt: at(c.written + 15 + 20*i)})
 		}
-		m.Notices = []Notice{{at(c.written + 500), "failed"}}
+		m.Notices = []Notice{{At: at(c.written + 500), State: "failed"}}
 		r.addMessage(m)
 		got := ""
 		if violations := r.judge(start, repeatWindow, 0).Violations; len(violations) > 0 {
