Answer an HTTP request that is cut short to make room, and don't submit it

A connection on which a request stands still is closed without a word, and its last byte may be on its way; closeSlowLarge did not look at bytes that had arrived. Here a body could also be read whole just as its connection was closed: the message was then submitted, and nobody heard of it.

Why it works: what has arrived in part is answered with 503 and Retry-After before the close. The close and the end of a body are decided under one lock, and a request whose connection was closed is not submitted.

Measured: TestRequestThatIsCutShort (head, body, large body) reads nothing without the response; TestBodyReadAsItsConnectionIsClosed tests the decision. Under TLS and HTTP/2 nothing can be written from outside, and the close stays silent.

--- /dev/null
+++ b/internal/front/http/cut_short_test.go
@@ -0,0 +1,78 @@
+package httpfront
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cometrack/internal/message"
+	"cometrack/internal/standin/byhand"
+)
+
+// receiving returns the connection on which so many bytes of a request have arrived in part; nil if there is none.
+func (cs *connections) receiving() net.Conn {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c, x := range cs.conns {
+		if x.receiving && !x.lastRead.IsZero() {
+			return c
+		}
+	}
+	return nil
+}
+
+// Guards against a request without a response: its connection is closed to make room, or to free a slot for a large body,
+// while a part of it has arrived, and the last byte is written before the client sees the close.
+func TestRequestThatIsCutShort(t *testing.T) {
+	post := func(fields string) string {
+		return "POST /v1/messages?partner=p&class=c HTTP/1.1\r\nHost: h\r\n" + fields
+	}
+	large := post(fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*smallBodyBytes)) + strings.Repeat("x", 2*smallBodyBytes)
+	for name, x := range map[string]struct {
+		text string
+		cut  func(*connections)
+	}{
+		"head":       {post("Content-Length: 1\r\n\r"), (*connections).releaseDescriptor},
+		"body":       {post("Content-Length: 4\r\n\r\nbod"), (*connections).releaseDescriptor},
+		"large body": {large[:len(large)-1], (*connections).closeSlowLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend := &fakeCore{submitted: make(chan *message.Message, 1)}
+			f, base := newFront(t, backend)
+			c := dialRaw(t, base, x.text)
+			byhand.WaitUntil(t, "part of a request", func() bool { return f.connections.receiving() != nil })
+			time.Sleep(300 * time.Millisecond) // until the request is slow
+			x.cut(f.connections)
+			io.WriteString(c, "\n")
+			got, _ := io.ReadAll(c)
+			if string(got) != unavailableResponse {
+				t.Errorf("got %q", got)
+			}
+			if len(backend.submitted) > 0 {
+				t.Error("submitted though it was answered as not")
+			}
+		})
+	}
+}
+
+// Guards against a message that is submitted though its client has been told that its request was cut short: the body is
+// read just as its connection is closed.
+func TestBodyReadAsItsConnectionIsClosed(t *testing.T) {
+	cs := newConnections(1)
+	c, _ := net.Pipe()
+	cs.add(c)
+	cs.trackState(c, 0)
+	cs.noteRead(c)
+	if !cs.setBodyReceived(c) {
+		t.Error("a body that is complete is refused")
+	}
+	cs.conns[c].executing, cs.conns[c].receiving = false, true
+	cs.conns[c].idleSince = time.Now().Add(-time.Second)
+	cs.releaseDescriptor()
+	if cs.setBodyReceived(c) {
+		t.Error("a body is accepted whose connection was closed")
+	}
+}
--- a/internal/front/http/messages.go
+++ b/internal/front/http/messages.go
@@ -160,11 +160,17 @@
 // readBody reads the body of a message. While it waits for the body of an HTTP/1 request, the connection may be closed to
 // make room.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, large bool) ([]byte, error) {
-	if conn := connectionOf(r); conn != nil && r.ProtoMajor == 1 && r.ContentLength != 0 {
-		f.connections.setReceivingBody(conn, large)
-		defer f.connections.setBodyReceived(conn)
+	body := http.MaxBytesReader(w, r.Body, message.MaxBody)
+	conn := connectionOf(r)
+	if conn == nil || r.ProtoMajor != 1 || r.ContentLength == 0 {
+		return io.ReadAll(body)
 	}
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, message.MaxBody))
+	f.connections.setReceivingBody(conn, large)
+	read, err := io.ReadAll(body)
+	if open := f.connections.setBodyReceived(conn); err == nil && !open {
+		err = errCutShort
+	}
+	return read, err
 }
 
 // writeTooLarge rejects a body that is too large.
--- a/internal/front/http/places.go
+++ b/internal/front/http/places.go
@@ -10,7 +10,6 @@
 
 	"cometrack/internal/front/room"
 	"cometrack/internal/netutil"
-	"cometrack/internal/permit"
 )
 
 // connections bounds the number of connections. At the limit, the connection that package room picks is closed to make
@@ -81,11 +80,7 @@
 		if i < 0 {
 			return false
 		}
-		_, unread := netutil.Peek(list[i])
-		unread = unread && !cs.conns[list[i]].refused
-		if permit.Close(permit.Connection{Unread: unread}) == permit.Granted {
-			delete(cs.conns, list[i])
-			list[i].Close()
+		if cs.closeToMakeRoom(list[i]) {
 			return true
 		}
 		list, conns = slices.Delete(list, i, i+1), slices.Delete(conns, i, i+1)
@@ -94,28 +89,34 @@
 }
 
 // closeSlowLarge closes the connection whose slow request has had a slot for large bodies for longest, if there is one.
+// A request whose next bytes have arrived is not slow: the process may have been held up.
 func (cs *connections) closeSlowLarge() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	var slowest net.Conn
 	for c, x := range cs.conns {
-		if x.hasSlot && x.roomConn().IsSlow(time.Now()) && (slowest == nil || x.beganAt.Before(cs.conns[slowest].beganAt)) {
+		if !x.hasSlot || !x.roomConn().IsSlow(time.Now()) || x.hasUnreadBytes(c) {
+			continue
+		}
+		if slowest == nil || x.beganAt.Before(cs.conns[slowest].beganAt) {
 			slowest = c
 		}
 	}
 	if slowest != nil {
-		delete(cs.conns, slowest)
-		slowest.Close()
+		cs.closeToMakeRoom(slowest)
 	}
 }
 
-// update changes the state of a connection with the lock held, if the connection has not been closed to make room.
-func (cs *connections) update(c net.Conn, change func(x *connectionState)) {
+// update changes the state of a connection with the lock held, and reports whether it has: not if the connection has been
+// closed to make room.
+func (cs *connections) update(c net.Conn, change func(x *connectionState)) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if x := cs.conns[c]; x != nil {
+	x := cs.conns[c]
+	if x != nil {
 		change(x)
 	}
+	return x != nil
 }
 
 // noteRead records that bytes of a connection were received. The first ones begin a request.
@@ -153,9 +154,10 @@
 	})
 }
 
-// setBodyReceived records that the body of a request is complete, or that the rest is not read.
-func (cs *connections) setBodyReceived(c net.Conn) {
-	cs.update(c, func(x *connectionState) { x.executing, x.receiving, x.hasSlot = true, false, false })
+// setBodyReceived records that the body of a request is complete, or that the rest is not read. It reports whether the
+// request may be executed: not if its connection was closed to make room.
+func (cs *connections) setBodyReceived(c net.Conn) bool {
+	return cs.update(c, func(x *connectionState) { x.executing, x.receiving, x.hasSlot = true, false, false })
 }
 
 // trackState follows the states of the server's connections.
