Allow calls of a message that was returned before its request came again

Trace: called once at 2.026 and turned away with 503, returned at 2.050, the request came once more and was answered -BUSY at 2.127, no call since. The call belongs to the first request; it did not run and what was returned may be handed in again. Calls that ran, or after the second request, are violations as before.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -278,7 +278,7 @@
 				add(m, "returned after a call that ran")
 			}
 		}
-		if len(m.Answer) >= 5 && m.Answer[:5] == "-BUSY" {
+		if rejected := len(m.Answer) >= 5 && m.Answer[:5] == "-BUSY"; rejected && !m.returnedBefore(c) {
 			add(m, "rejected and sent")
 		}
 		if len(m.Answer) >= 4 && m.Answer[:4] == "-ERR" && c.At.After(m.AnsweredAt.Add(noise)) {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -83,6 +83,12 @@
 // Accepted reports whether the client got the response that the message is accepted.
 func (m *Message) Accepted() bool { return strings.HasPrefix(m.Answer, "+") }
 
+// returnedBefore reports whether a call did not run and was made for the first of two requests with the message: that
+// one was accepted and the message returned, and only the second one was rejected.
+func (m *Message) returnedBefore(c *Call) bool {
+	return !c.Ran && c.At.Before(m.resentAt) && len(m.Notices) > 0 && m.Notices[0].State == "returned"
+}
+
 // Delivered reports whether an endpoint wrote a complete response with status 200 to a call of the message.
 func (m *Message) Delivered() bool {
 	return slices.ContainsFunc(m.Calls, func(c *Call) bool { return c.Status == 200 })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -85,6 +85,14 @@
 		}, "two attempts in flight"},
 		"failed and sent":       {func(m *Message, _ *Records) { m.Answer = "-ERR failed" }, "failed and sent"},
 		"rejected and sent":     {func(m *Message, _ *Records) { m.Answer = "-BUSY" }, "rejected and sent"},
+		"returned, sent once more and rejected": {func(m *Message, _ *Records) {
+			m.Answer, m.Calls, m.resentAt = "-BUSY", []*Call{call(10, 20, 503)}, at(90)
+			m.Notices = []Notice{{At: at(50), State: "returned"}}
+		}, ""},
+		"returned, rejected and sent": {func(m *Message, _ *Records) {
+			m.Answer, m.Calls, m.resentAt = "-BUSY", []*Call{call(95, 99, 503)}, at(90)
+			m.Notices = []Notice{{At: at(50), State: "returned"}}
+		}, "rejected and sent"},
 		"closed with no answer": {func(m *Message, _ *Records) { m.Answer, m.ClosedAt = "", at(600) }, "closed with no answer"},
 		"closed in crossing":    {func(m *Message, _ *Records) { m.Answer, m.ClosedAt = "", at(100) }, ""},
 		"closed by a kill":      {func(m *Message, r *Records) { m.Answer, m.ClosedAt, r.kills[0] = "", at(600), []time.Time{at(599)} }, ""},
