Answer new connections that find no place with -BUSY

Why it works: -BUSY stands in the send buffer before the close, so the client reads it before the reset. Nothing of the request is read or executed.

Measured: TestRequestOnRefusedConnection reads nothing without the response.

--- a/internal/front/resp/clients.go
+++ b/internal/front/resp/clients.go
@@ -138,7 +138,7 @@
 		s := &session{front: c, conn: conn, openedAt: time.Now()}
 		s.idleSince = s.openedAt
 		if !netutil.AwaitAdmission(func() bool { return c.admit(s) }, c.isShuttingDown) {
-			conn.Close()
+			c.refuse(conn)
 			continue
 		}
 		go func() {
--- a/internal/front/resp/crossing_test.go
+++ b/internal/front/resp/crossing_test.go
@@ -357,6 +357,25 @@
 	}
 }
 
+// Guards against a request without a response on a new connection that finds no place: all others have requests whose
+// responses are pending.
+func TestRequestOnRefusedConnection(t *testing.T) {
+	f, backend := servePaused(t, true)
+	f.mu.Lock()
+	f.limits.Active, f.opts.MaxConnections = 1, 1
+	f.mu.Unlock()
+	busy := dial(t, f)
+	fmt.Fprint(busy.conn, puts(1))
+	byhand.WaitUntil(t, "submission", func() bool { submitted, _ := backend.counts(); return submitted == 1 })
+	if got := dial(t, f).do("MSG.PUT", "0", "id", "c=safe,d=9000,dest=1", "x"); got != "-BUSY" {
+		t.Errorf("the refused client got %q", got)
+	}
+	backend.resume()
+	if got := busy.readLine(); got != "+OK" {
+		t.Errorf("the other one got %q", got)
+	}
+}
+
 // tcpPair returns both sides of a TCP connection.
 func tcpPair(t *testing.T) (accepted, dialed net.Conn) {
 	t.Helper()
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -1,6 +1,8 @@
 package resp
 
 import (
+	"io"
+	"net"
 	"slices"
 	"time"
 
@@ -11,6 +13,9 @@
 
 // Which connections a front admits, and which it closes to make room for new ones.
 
+// refusalTimeout bounds the write of the response to a client that is refused. Its send buffer is empty.
+const refusalTimeout = 5 * time.Millisecond
+
 // isShuttingDown reports whether no connection is admitted any more.
 func (c *Front) isShuttingDown() bool {
 	c.mu.Lock()
@@ -45,6 +50,15 @@
 	return false
 }
 
+// refuse closes a new connection for which there is no place. Its request may have arrived, and is answered with -BUSY
+// without being read; the response is in the send buffer before the close resets the connection.
+func (c *Front) refuse(conn net.Conn) {
+	conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, err := io.WriteString(conn, formatBusy(0))
+	c.log.Debug("client refused", "remote", conn.RemoteAddr().String(), "err", err)
+	conn.Close()
+}
+
 // releaseDescriptor frees a file descriptor when there is none for a new connection.
 func (c *Front) releaseDescriptor() {
 	c.mu.Lock()
