Count only holds of up to 0.15 s against a sender in the soak's judge

Trace: the process was held three times in a row from when the request was written, and read it 420 ms later. What of the holds passes 0.15 s from the request to the call is no longer counted; one hold is, as before (both cases in TestJudge). Points of measure crossings name their lines again.

--- a/internal/soak/points.go
+++ b/internal/soak/points.go
@@ -65,7 +65,7 @@
 	{faultbuild.Point{Name: "step: journal about to commit", File: "internal/journal/write.go", Before: "	if err := j.store.Commit(b); err != nil {\n		return err\n	}\n	for name"}, byTraffic},
 	{faultbuild.Point{Name: "step: written, clients not answered", File: coreStep, Before: "	c.respondToSubmissions(responses, err, backlogErr)"}, byTraffic},
 	{faultbuild.Point{Name: "step: clients answered, nothing done", File: coreStep, Before: "	var starts []logic.StartAttempt"}, byTraffic},
-	{faultbuild.Point{Name: "step: ends decided, not told", File: coreStep, Before: "	c.reportEnds(err == nil)\n	c.startAttempts"}, byTraffic},
+	{faultbuild.Point{Name: "step: ends decided, not told", File: coreStep, Before: "	c.reportEnds(err == nil)\n	c.answerDuplicates"}, byTraffic},
 	{faultbuild.Point{Name: "step: calls decided, not begun", File: coreStep, Before: "	c.startAttempts(work, starts, err == nil)"}, byTraffic},
 	{faultbuild.Point{Name: "end: decided, not queued", File: coreStep, Before: "			c.unreportedEnds = append(c.unreportedEnds, endReport{p.msg, end, true})"}, byTraffic},
 	{faultbuild.Point{Name: "end: about to be withheld", File: coreStep, Before: "		p.attempt.messageEnded.Store(true)"}, byTraffic},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,7 +68,13 @@
 			m.Calls, m.Notices, r.outages[0] = nil, []Notice{{At: at(1700), State: "failed"}}, []Interval{{at(900), at(1200)}}
 		}, ""},
 		"sent after its deadline": {func(m *Message, _ *Records) { m.Calls = []*Call{call(1200, 1210, 200)} }, "after its deadline"},
-		"sent after its notice":   {func(m *Message, _ *Records) { m.Notices = []Notice{{At: at(5), State: "failed"}} }, "after its notice"},
+		"sent after its deadline, held once": {func(m *Message, r *Records) {
+			m.Calls, r.stalls[0] = []*Call{call(1200, 1210, 200)}, []Interval{{at(100), at(250)}}
+		}, "after its deadline"},
+		"sent after its deadline, held in a row": {func(m *Message, r *Records) {
+			m.Calls, r.stalls[0] = []*Call{call(1200, 1210, 200)}, []Interval{{at(100), at(250)}, {at(260), at(410)}, {at(420), at(500)}}
+		}, ""},
+		"sent after its notice": {func(m *Message, _ *Records) { m.Notices = []Notice{{At: at(5), State: "failed"}} }, "after its notice"},
 		"returned and run": {func(m *Message, _ *Records) {
 			m.Calls[0] = call(10, 20, 500)
 			m.Notices = []Notice{{At: at(50), State: "returned"}}
@@ -83,8 +89,8 @@
 			m.Effect = Safe
 			m.Calls = []*Call{call(10, 500, 0), call(100, 110, 200)}
 		}, "two attempts in flight"},
-		"failed and sent":       {func(m *Message, _ *Records) { m.Answer = "-ERR failed" }, "failed and sent"},
-		"rejected and sent":     {func(m *Message, _ *Records) { m.Answer = "-BUSY" }, "rejected and sent"},
+		"failed and sent":   {func(m *Message, _ *Records) { m.Answer = "-ERR failed" }, "failed and sent"},
+		"rejected and sent": {func(m *Message, _ *Records) { m.Answer = "-BUSY" }, "rejected and sent"},
 		"returned, sent once more and rejected": {func(m *Message, _ *Records) {
 			m.Answer, m.Calls, m.resentAt = "-BUSY", []*Call{call(10, 20, 503)}, at(90)
 			m.Notices = []Notice{{At: at(50), State: "returned"}}
