--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -67,7 +67,7 @@
 // discovery is the server of the list for all senders. Each sender calls it at an address of its own.
 type discovery struct {
 	records *Records
-	pushed  bool // it stands in for an agent beside each sender: single calls do not fail and are not queued
+	pushed  bool // it stands in for an agent beside each sender: single calls do not fail, are not queued and are answered at once
 
 	mu                  sync.Mutex
 	list                instanceList   // published last
@@ -268,7 +268,9 @@
 		}
 		remaining := time.Until(by)
 		if !fault.silent && (list.Generation > from || remaining <= 0) {
-			time.Sleep(fault.delay)
+			if !d.pushed {
+				time.Sleep(fault.delay)
+			}
 			if list.Generation <= from {
 				list.Instances, list.Reset = nil, false
 			}
