Don't take the lock of a head while a connection is closed to make room

The front served nobody any more.

Cause: closeToMakeRoom, with the lock of all connections held, took the lock of one to learn whether it carries HTTP/1 in the clear; a head that arrives holds that one and asks for the other.

Why it works: whether it does is an atomic value. The order of the two locks is noted where they are declared.

--- a/internal/front/http/cut_short.go
+++ b/internal/front/http/cut_short.go
@@ -47,16 +47,9 @@
 // clear.
 func writeUnavailable(c net.Conn) {
 	accepted, ok := c.(*clientConn)
-	if !ok || !accepted.isPlain() {
+	if !ok || !accepted.plain.Load() {
 		return
 	}
 	c.SetWriteDeadline(time.Now().Add(unavailableTimeout))
 	io.WriteString(c, unavailableResponse)
 }
-
-// isPlain reports whether the connection carries HTTP/1 without TLS.
-func (c *clientConn) isPlain() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.heads != nil
-}
--- a/internal/front/http/cut_short_test.go
+++ b/internal/front/http/cut_short_test.go
@@ -76,3 +76,34 @@
 		t.Error("a body is accepted whose connection was closed")
 	}
 }
+
+// Guards against a front that stands still: a head arrives on a connection just as it is closed to make room, and each
+// side waits for the other's lock.
+func TestCutShortAsItsHeadArrives(t *testing.T) {
+	const rounds = 2000
+	ours, theirs := net.Pipe()
+	go io.Copy(io.Discard, theirs)
+	cs := newConnections(1)
+	c := &clientConn{Conn: ours, connections: cs, heads: newHeadLimiter(1 << 20)}
+	c.plain.Store(true)
+	cs.add(c)
+	done := make(chan bool, 2)
+	go func() {
+		for range rounds {
+			c.countHead(headEnd)
+			c.expectHead()
+		}
+		done <- true
+	}()
+	go func() {
+		for range rounds {
+			cs.mu.Lock()
+			writeUnavailable(c)
+			cs.mu.Unlock()
+		}
+		done <- true
+	}()
+	byhand.Await(t, done, "end of the first")
+	byhand.Await(t, done, "end of the second")
+	ours.Close()
+}
--- a/internal/front/http/heads.go
+++ b/internal/front/http/heads.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,8 +52,9 @@
 type clientConn struct {
 	net.Conn
 	connections *connections
+	plain       atomic.Bool // it carries HTTP/1 without TLS
 
-	mu        sync.Mutex   // guards the fields below
+	mu        sync.Mutex   // guards the fields below; locked before the lock of connections
 	heads     *headLimiter // nil for no bound
 	scanner   netutil.HeadScanner
 	headBytes int  // received of the head that is incomplete
@@ -130,6 +132,7 @@
 	c.releaseSlotLocked()
 	c.scanner.Scan(headEnd)
 	if r.ProtoMajor > 1 {
+		c.plain.Store(false)
 		c.heads = nil
 	}
 }
--- a/internal/front/http/places.go
+++ b/internal/front/http/places.go
@@ -206,6 +206,7 @@
 			return nil, err
 		}
 		c := &clientConn{Conn: accepted, connections: l.connections, heads: l.heads}
+		c.plain.Store(l.heads != nil)
 		admit := func() bool { return l.connections.add(c) }
 		if netutil.AwaitAdmission(admit, func() bool { return false }) {
 			return c, nil
