Don't return a message whose attempt ended in the same step and may have run

What callers saw: an unsafe message was told as returned, so that its client hands it in again, though its call had run.

Why it works: the pending message itself notes the outcome as it is handled, and the withdrawal looks at both.

Measured: TestWithdrawInTheStepOfAnOutcome failed before (withdrawn, end returned) and passes.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -202,8 +202,9 @@
 	case done:
 		c.endDelivered(id, p, result)
 	default:
+		p.mayHaveRun = p.mayHaveRun || mayHaveRun(result.Outcome)
 		c.records = append(c.records, journal.Record{Op: journal.OpOutcome, ID: id, MayHaveRun: mayHaveRun(result.Outcome)})
-		if c.endsWithAttempt(id, p, result.Outcome) {
+		if c.endsWithAttempt(id, p) {
 			done = true
 			c.endWithdrawn(id, p)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,6 +85,7 @@
 	class       *logic.Class       // its class in these terms; nil if the class is unknown
 	bodyInStore bool               // the body is in the store only
 	front       *FrontLimiter      // limiter of the front that submitted it; nil after a restart
+	mayHaveRun  bool               // an attempt may have run; the journal knows it from the end of the step on
 	resubmitted bool               // a further submission of it has been answered as accepted
 	clientLeft  bool               // its client has left without the response: it ends unless an attempt may have run
 	ended       bool               // it has ended, but an attempt is still in flight
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -221,7 +221,8 @@
 		c.log.Error("the class of a pending message is not configured", "id", entry.ID, "class", entry.Class)
 	}
 	p := &pendingMessage{msg: &entry.Message, acceptedAt: entry.AcceptedAt, attempts: entry.Attempts,
-		bodyInStore: entry.StoredBodySize > 0, termsNumber: entry.Terms, class: class}
+		bodyInStore: entry.StoredBodySize > 0, termsNumber: entry.Terms, class: class,
+		mayHaveRun: entry.MayHaveRun || entry.InFlight}
 	c.pending[entry.ID] = p
 	c.pendingCount++
 	event.History = logic.History{Attempts: entry.Attempts, MayHaveRun: entry.MayHaveRun || entry.InFlight,
--- a/internal/core/withdraw.go
+++ b/internal/core/withdraw.go
@@ -62,22 +62,26 @@
 
 // endsWithAttempt reports whether a message ends with the outcome of its attempt, which did not deliver it, because its
 // client has left and no attempt may have run.
-func (c *Core) endsWithAttempt(id string, p *pendingMessage, outcome logic.Outcome) bool {
+func (c *Core) endsWithAttempt(id string, p *pendingMessage) bool {
 	entry := c.store.Entry(id)
 	if !p.clientLeft || entry == nil {
 		return false
 	}
-	state := permit.Withdrawal{Ended: p.ended || entry.End != nil, Resubmitted: p.resubmitted,
-		MayHaveRun: entry.MayHaveRun || mayHaveRun(outcome)}
-	return permit.Withdraw(state) == permit.Granted
+	return permit.Withdraw(p.withdrawal(entry)) == permit.Granted
+}
+
+// withdrawal returns the state of the message that determines whether it may be withdrawn, without its attempt in flight.
+func (p *pendingMessage) withdrawal(entry *journal.Entry) permit.Withdrawal {
+	return permit.Withdrawal{Ended: p.ended || entry.End != nil, MayHaveRun: p.mayHaveRun || entry.MayHaveRun,
+		Resubmitted: p.resubmitted, Repeatable: p.class != nil && p.class.Effect != logic.Unsafe}
 }
 
 // stopBeforeSending returns why package permit does not allow the message to be withdrawn; [permit.Granted] if it does.
 // Its attempt, if it has not begun, is withheld before the last look, whatever that gives; the scheduler decides anew if
 // the message goes on.
 func (p *pendingMessage) stopBeforeSending(entry *journal.Entry, mayBeRead bool) permit.Reason {
-	state := permit.Withdrawal{Ended: p.ended || entry.End != nil, MayHaveRun: entry.MayHaveRun, Resubmitted: p.resubmitted,
-		MayBeRead: mayBeRead, Repeatable: p.class != nil && p.class.Effect != logic.Unsafe}
+	state := p.withdrawal(entry)
+	state.MayBeRead = mayBeRead
 	if reason := permit.Withdraw(state); reason != permit.Granted || p.attempt == nil {
 		return reason
 	}
--- a/internal/core/withdraw_test.go
+++ b/internal/core/withdraw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"cometrack/internal/message"
 	"cometrack/internal/standin/byhand"
@@ -141,3 +142,32 @@
 		t.Errorf("end %+v", e)
 	}
 }
+
+// Guards against a message that is returned though it has run: its attempt ends with an error, and its client leaves, in
+// the same step.
+func TestWithdrawInTheStepOfAnOutcome(t *testing.T) {
+	r := newRig(t, t.TempDir(), testConfig()).run()
+	r.submitAndWait(newMessage("a", "unsafe"))
+	out := byhand.Await(t, r.fakeTransport.attempts, "attempt")
+	r.store.mu.Lock() // the loop stands still in its next step
+	r.Submit(newMessage("b", "unsafe"), make(chan SubmitResponse, 1))
+	time.Sleep(50 * time.Millisecond)
+	out.result <- Result{Outcome: logic.Errored}
+	byhand.WaitUntil(t, "outcome", func() bool { return len(r.events) == 1 })
+	withdrawn := make(chan bool, 1)
+	go func() { withdrawn <- r.Withdraw("a", false) }()
+	byhand.WaitUntil(t, "withdrawal", func() bool { return len(r.events) == 2 })
+	r.store.mu.Unlock()
+	if byhand.Await(t, withdrawn, "answer") {
+		t.Error("withdrawn though it may have run")
+	}
+	if e := byhand.Await(t, r.fakeSink.added, "end"); e.ID != "a" || e.State != message.Failed {
+		t.Errorf("end %+v", e)
+	}
+	b := byhand.Await(t, r.fakeTransport.attempts, "attempt")
+	b.result <- Result{Outcome: logic.Completed}
+	for _, id := range []string{"a", "b"} {
+		r.fakeSink.confirm <- id
+	}
+	r.shutDown()
+}
