Withdraw what a client can't have read because the process was held up before the write

Cause: a response counted as written when it was composed. The process was held up for 0.1 s before the write, the client ended the connection in order meanwhile, and by the times the response was old enough to have been read.

Why it works: a response counts from its write on, and the window before an orderly end has room for a stall. A reset must follow that end as before, which shows that something was in transit.

Measured: TestClientLeavesBeforeAHeldUpWrite: 0 of 3 messages were withdrawn before, all five times all now.

--- a/internal/front/resp/leaving.go
+++ b/internal/front/resp/leaving.go
@@ -22,8 +22,11 @@
 )
 
 // inTransit is how long a response may take to arrive. A client that has ended its side in order had read all that had
-// arrived; if its connection is reset after that, it has not read what was in transit.
-const inTransit = 50 * time.Millisecond
+// arrived; if its connection is reset after that, it has not read what was in transit. This process may see the end late.
+const (
+	inTransit        = 50 * time.Millisecond
+	unheardBeforeEnd = inTransit + permit.MaxStall
+)
 
 // resetPollInterval is the time between two looks for a reset.
 const resetPollInterval = 5 * time.Millisecond
@@ -62,10 +65,14 @@
 	return s.front.formatResult(submitted)
 }
 
-// responsesWritten records that all responses so far have been written to the connection.
+// responsesWritten records that all responses so far have been written to the connection: only now may a client read
+// them, as the process may have been held up before the write.
 func (s *session) responsesWritten() {
+	now := time.Now()
 	for i := range s.accepted {
-		s.accepted[i].written = true
+		if m := &s.accepted[i]; !m.written {
+			m.written, m.answeredAt = true, now
+		}
 	}
 }
 
@@ -83,7 +90,7 @@
 func (s *session) isReset() bool {
 	hangup := s.hangup()
 	if at := s.endedInputAt.Load(); hangup == netutil.EndedInput && at != 0 {
-		s.forgetHeard(s.openedAt.Add(time.Duration(at)), inTransit)
+		s.forgetHeard(s.openedAt.Add(time.Duration(at)), unheardBeforeEnd)
 		for giveUpAt := time.Now().Add(inTransit); len(s.accepted) > 0 && hangup != netutil.Reset &&
 			time.Now().Before(giveUpAt); hangup = netutil.PeerHangup(s.conn) {
 			time.Sleep(resetPollInterval)
@@ -96,7 +103,7 @@
 // is called when both goroutines are done.
 func (s *session) withdrawUnheard() {
 	if at := s.endedInputAt.Load(); at != 0 {
-		s.forgetHeard(s.openedAt.Add(time.Duration(at)), inTransit)
+		s.forgetHeard(s.openedAt.Add(time.Duration(at)), unheardBeforeEnd)
 	} else {
 		s.forgetHeard(time.Now(), unheardWindow)
 	}
--- a/internal/front/resp/leaving_test.go
+++ b/internal/front/resp/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -239,3 +240,54 @@
 		}
 	}
 }
+
+// heldListener accepts connections whose first write is held up.
+type heldListener struct {
+	net.Listener
+	hold time.Duration
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{TCPConn: conn.(*net.TCPConn), hold: l.hold}, nil
+}
+
+type heldConn struct {
+	*net.TCPConn
+	once sync.Once
+	hold time.Duration
+}
+
+func (c *heldConn) Write(b []byte) (int, error) {
+	c.once.Do(func() { time.Sleep(c.hold) })
+	return c.TCPConn.Write(b)
+}
+
+// Guards against messages that are sent on for a client that has left: the process is held up before it writes the
+// responses, and the client ends the connection in order meanwhile, with nothing to read. Its end is seen before the write.
+func TestClientLeavesBeforeAHeldUpWrite(t *testing.T) {
+	const count, hold = 3, 200 * time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := &pausedCore{withdrawn: map[string]bool{}, mayBeRead: map[string]bool{}}
+	f := New(backend, Options{Listen: ln.Addr().String(), MaxConnections: 10, Withdraw: backend.withdraw,
+		Log: slog.New(slog.DiscardHandler)})
+	f.AdoptListener(heldListener{ln, hold})
+	t.Cleanup(f.CloseListener)
+	go f.Serve()
+	c := dial(t, f)
+	fmt.Fprint(c.conn, puts(count))
+	byhand.WaitUntil(t, "submissions", func() bool { submitted, _ := backend.counts(); return submitted == count })
+	time.Sleep(hold / 2)        // the responses are at the write
+	fmt.Fprint(c.conn, puts(1)) // it is read once the client has left, and not executed
+	c.conn.Close()
+	awaitNoSessions(t, f)
+	if _, withdrawn := backend.counts(); withdrawn != count {
+		t.Errorf("%d of %d messages were withdrawn", withdrawn, count)
+	}
+}
