--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -215,24 +215,32 @@
 	}
 	defer x.Close()
 	for ctx.Err() == nil {
-		var out []*Message
-		for range 2 + rng.IntN(8) {
-			if m := c.request(x, "burst", rng); m != nil {
-				out = append(out, m)
-			}
-		}
-		for i, m := range out {
-			if !c.answer(x, m) {
-				for _, later := range out[i+1:] {
-					c.records.update(later, func() { later.ClosedAt, later.ClientLeft = m.ClosedAt, m.ClientLeft })
-				}
-				return
-			}
+		if _, ok := c.pipeline(x, "burst", rng); !ok {
+			return
 		}
 		pause(ctx, time.Duration(300+rng.IntN(1200))*time.Millisecond)
 	}
 }
 
+// pipeline sends several requests and reads their responses. It returns the messages, and whether each has a response.
+func (c *clients) pipeline(x *conn, kind string, rng *rand.Rand) (out []*Message, ok bool) {
+	for range 2 + rng.IntN(8) {
+		if m := c.request(x, kind, rng); m != nil {
+			out = append(out, m)
+		}
+	}
+	for i, m := range out {
+		if c.answer(x, m) {
+			continue
+		}
+		for _, later := range out[i+1:] {
+			c.records.update(later, func() { later.ClosedAt, later.ClientLeft = m.ClosedAt, m.ClientLeft })
+		}
+		return out, false
+	}
+	return out, true
+}
+
 // cut always has an incomplete request outstanding: each write holds the rest of one request and the first
 // part of the next, split at a random byte.
 func (c *clients) cut(ctx context.Context, rng *rand.Rand) {
--- a/internal/soak/client_broken.go
+++ b/internal/soak/client_broken.go
@@ -25,19 +25,9 @@
 		return
 	}
 	defer breakConnection(x)
-	var out []*Message
-	for range 2 + rng.IntN(8) {
-		if m := c.request(x, "broken", rng); m != nil {
-			out = append(out, m)
-		}
-	}
-	for i, m := range out {
-		if !c.answer(x, m) {
-			for _, later := range out[i+1:] {
-				c.records.update(later, func() { later.ClosedAt, later.ClientLeft = m.ClosedAt, m.ClientLeft })
-			}
-			return
-		}
+	out, ok := c.pipeline(x, "broken", rng)
+	if !ok {
+		return
 	}
 	pause(ctx, time.Duration(rng.IntN(100))*time.Millisecond)
 	breakConnection(x)
--- a/internal/soak/points.go
+++ b/internal/soak/points.go
@@ -30,6 +30,7 @@
 	transport   = "internal/transport/http/calls.go"
 	idleConns   = "internal/transport/http/idle.go"
 	session     = "internal/front/resp/session.go"
+	responses   = "internal/front/resp/responses.go"
 	front       = "internal/front/resp/clients.go"
 	lingering   = "internal/front/resp/linger.go"
 	notices     = "internal/sink/notices/poster.go"
@@ -53,9 +54,9 @@
 	{faultbuild.Point{Name: "client: first byte there", File: session, Before: "	s.beginRequestLocked()\n	return true"}, byTraffic},
 	{faultbuild.Point{Name: "client: request read, not noted", File: session, Before: "		active := s.endRead(err == nil)"}, byTraffic},
 	{faultbuild.Point{Name: "client: request noted, not submitted", File: "internal/front/resp/commands.go", Before: "		s.front.core.Submit(m, result)"}, byTraffic},
-	{faultbuild.Point{Name: "client: answer there, not written", File: session, Before: "		if err == nil {\n			s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))\n			_, err = w.WriteString(text)"}, byTraffic},
-	{faultbuild.Point{Name: "client: answer about to go out", File: session, Before: "	err := w.Flush()"}, byTraffic},
-	{faultbuild.Point{Name: "client: answered, not noted", File: session, Before: "	s.pending--\n	s.served = true"}, byTraffic},
+	{faultbuild.Point{Name: "client: answer there, not written", File: responses, Before: "		if err == nil {\n			s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))\n			_, err = w.WriteString(text)"}, byTraffic},
+	{faultbuild.Point{Name: "client: answer about to go out", File: responses, Before: "	err := w.Flush()"}, byTraffic},
+	{faultbuild.Point{Name: "client: answered, not noted", File: responses, Before: "	s.pending--\n	s.served = true"}, byTraffic},
 	{faultbuild.Point{Name: "client: rests, about to be ended", File: session, Before: "			s.reason = s.reasonAfterWait(err)\n			return false"}, byTerm},
 	{faultbuild.Point{Name: "client: about to be shut", File: lingering, Before: "	if t, ok := s.conn.(interface{ CloseWrite() error }); ok {"}, byTerm},
 	{faultbuild.Point{Name: "client: shut, not noted", File: lingering, Before: "	s.startLingering()\n	s.writeClosed = true"}, byTerm},
