Read a step of the wall clock again if the process was held up within the reading

Cause: a reading of the time takes the wall clock and then the monotonic one. If the process is held up between the two, they lie apart, which counts as a step of the wall clock from 1 ms on. The sign fits a hold within the second reading.

Why it works: a step is read up to three times and the smallest counts. A real step shows in all of them.

Measured: TestStepIsReadAgain (no such function before).

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -33,18 +33,39 @@
 // Wall converts microseconds of the clock to the time of the wall clock as it is set now. The result is for people and
 // protocols; decisions must not depend on it.
 func (c *Clock) Wall(us int64) time.Time {
+	return c.origin.Round(0).Add(time.Duration(us-c.base)*time.Microsecond + smallestStep(c.readStep))
+}
+
+const (
+	// minStep is the smallest step of the wall clock that Wall follows: smaller ones may be jitter between two readings.
+	minStep = time.Millisecond
+	// maxStepReadings is how often a step is read at most. The process may be held up between the two clocks of a reading.
+	maxStepReadings = 3
+)
+
+// readStep reads how far the wall clock was stepped since the origin.
+func (c *Clock) readStep() time.Duration {
 	now := time.Now()
-	wall := c.origin.Round(0)
-	step := now.Round(0).Sub(wall) - now.Sub(c.origin) // how far the wall clock was stepped since origin
+	return now.Round(0).Sub(c.origin.Round(0)) - now.Sub(c.origin)
+}
+
+// smallestStep returns the smallest of some readings of a step; 0 if one of them is below minStep.
+func smallestStep(read func() time.Duration) time.Duration {
+	step := read()
+	for range maxStepReadings - 1 {
+		if step.Abs() < minStep {
+			break
+		}
+		if again := read(); again.Abs() < step.Abs() {
+			step = again
+		}
+	}
 	if step.Abs() < minStep {
-		step = 0
+		return 0
 	}
-	return wall.Add(time.Duration(us-c.base)*time.Microsecond + step)
+	return step
 }
 
-// minStep is the smallest step of the wall clock that Wall follows: smaller ones may be jitter between two readings.
-const minStep = time.Millisecond
-
 // Epoch relates the sender's time to a boot of the machine. It is stored with the journal.
 type Epoch struct {
 	BootID string // ID of the boot; empty if the system has none
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -82,6 +82,27 @@
 	}
 }
 
+// Guards against a step of the wall clock that was none: the process is held up between the two clocks of one reading.
+func TestStepIsReadAgain(t *testing.T) {
+	const held = 3 * time.Millisecond
+	for _, x := range []struct {
+		readings []time.Duration
+		want     time.Duration
+	}{
+		{[]time.Duration{0}, 0},
+		{[]time.Duration{-held, 0}, 0},
+		{[]time.Duration{-held, held, minStep / 2}, 0},
+		{[]time.Duration{time.Hour + held, time.Hour, time.Hour + held}, time.Hour},
+		{[]time.Duration{-time.Hour - held, -time.Hour - held, -time.Hour}, -time.Hour},
+	} {
+		next := 0
+		got := smallestStep(func() time.Duration { next++; return x.readings[next-1] })
+		if got != x.want || next != len(x.readings) {
+			t.Errorf("%v: step %v after %d readings, want %v", x.readings, got, next, x.want)
+		}
+	}
+}
+
 // The machine that runs the tests must have a boot ID and a boot clock.
 func TestSystemBoot(t *testing.T) {
 	if b := readBoot(); b.id == "" || b.uptime <= 0 {
