Wait for events in place of times in the tests of withdrawals and cut requests

Need: nine waits by time.Sleep were new in these tests, which makes them slow and dependent on the machine's load.

Change: attempts of the random play are out until further messages are submitted; the disk changes with submissions; the step that stands still is seen by a count of appends; slow requests begin earlier in place of being waited for; a held up write is released by the test. TestSlowLargeRequestCrossesClose writes each last byte right before or after the choice of the connection to be closed.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,6 +80,7 @@
 type failingStore struct {
 	Store
 	mu         sync.Mutex
+	appends    atomic.Int64 // calls of Append, also those that wait for the lock
 	failing    bool
 	postponed  []journal.Record // records that could not be written yet
 	bodiesLost bool             // bodies can't be read
@@ -102,6 +104,7 @@
 }
 
 func (f *failingStore) Append(recs []journal.Record) error {
+	f.appends.Add(1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failing && len(recs)+len(f.postponed) > 0 {
--- a/internal/core/withdraw_random_test.go
+++ b/internal/core/withdraw_random_test.go
@@ -12,16 +12,35 @@
 	"cometrack/logic"
 )
 
-// recordingTransport makes attempts that take random times and have random outcomes, and records which messages were sent
-// and may have run. It is a sink, too, which records how messages ended.
+// recordingTransport makes attempts that take until some more messages are submitted and have random outcomes, and records
+// which messages were sent and may have run. It is a sink, too, which records how messages ended.
 type recordingTransport struct {
 	mu         sync.Mutex
+	progressed sync.Cond // of mu: a message was submitted, or all were
+	submitted  int
+	done       bool
 	mayHaveRun map[string]bool
 	ended      map[string]string // state, by ID
 	violations []string
 }
 
-func (r *recordingTransport) pause() { time.Sleep(time.Duration(rand.IntN(3000)) * time.Microsecond) }
+// pause waits until a random number of further messages is submitted, or all are.
+func (r *recordingTransport) pause() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for until := r.submitted + rand.IntN(4); r.submitted < until && !r.done; {
+		r.progressed.Wait()
+	}
+}
+
+// progress records that a message was submitted; done that it was the last one.
+func (r *recordingTransport) progress(done bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.submitted++
+	r.done = r.done || done
+	r.progressed.Broadcast()
+}
 
 func (r *recordingTransport) send(a *Attempt, outcome logic.Outcome) Result {
 	if !a.Begin() {
@@ -80,8 +99,12 @@
 // Guards against an attempt that goes out after the end of its message, and a return of what may have run: messages are
 // withdrawn at random moments, beside calls of several messages, submissions that come again and a disk that fails.
 func TestWithdrawalsAtRandomMoments(t *testing.T) {
-	const length, clients = 1500 * time.Millisecond, 6
+	const (
+		length, clients    = 1500 * time.Millisecond, 6
+		diskChangeInterval = 20 // messages of all clients from one change of the disk to the next, in the mean
+	)
 	recorder := &recordingTransport{mayHaveRun: map[string]bool{}, ended: map[string]string{}}
+	recorder.progressed.L = &recorder.mu
 	cfg := testConfig()
 	cfg.Settings.MaxOpen, cfg.Settings.Kinds = 64, []logic.Kind{{Name: "std", MaxBatch: 4}}
 	r := newRig(t, t.TempDir(), cfg, func(d *Dependencies) { d.Transport, d.Sink = recorder, recorder }).run()
@@ -93,10 +116,15 @@
 			for i := 0; time.Now().Before(deadline); i++ {
 				id := fmt.Sprintf("%d-%d", client, i)
 				m := newMessage(id, []string{"safe", "keyed", "unsafe"}[rand.IntN(3)])
-				if r.submitAndWait(m).Status != Accepted {
+				status := r.submitAndWait(m).Status
+				recorder.progress(false)
+				if status != Accepted {
+					r.store.setFailing(false) // else nothing is accepted any more
 					continue
 				}
-				recorder.pause()
+				if rand.IntN(diskChangeInterval) == 0 {
+					r.store.setFailing(rand.IntN(4) == 0)
+				}
 				if r.Withdraw(id, rand.IntN(2) == 0) {
 					withdrawn[client]++
 				}
@@ -106,14 +134,9 @@
 			}
 		})
 	}
-	all.Go(func() {
-		for time.Now().Before(deadline) {
-			time.Sleep(time.Duration(rand.IntN(60)) * time.Millisecond)
-			r.store.setFailing(rand.IntN(4) == 0)
-		}
-		r.store.setFailing(false)
-	})
 	all.Wait()
+	recorder.progress(true)
+	r.store.setFailing(false)
 	r.shutDown()
 	recorder.mu.Lock()
 	defer recorder.mu.Unlock()
--- a/internal/core/withdraw_test.go
+++ b/internal/core/withdraw_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"cometrack/internal/message"
 	"cometrack/internal/standin/byhand"
@@ -150,8 +149,9 @@
 	r.submitAndWait(newMessage("a", "unsafe"))
 	out := byhand.Await(t, r.fakeTransport.attempts, "attempt")
 	r.store.mu.Lock() // the loop stands still in its next step
+	appends := r.store.appends.Load()
 	r.Submit(newMessage("b", "unsafe"), make(chan SubmitResponse, 1))
-	time.Sleep(50 * time.Millisecond)
+	byhand.WaitUntil(t, "step", func() bool { return r.store.appends.Load() > appends && len(r.events) == 0 })
 	out.result <- Result{Outcome: logic.Errored}
 	byhand.WaitUntil(t, "outcome", func() bool { return len(r.events) == 1 })
 	withdrawn := make(chan bool, 1)
--- a/internal/front/http/cut_short_test.go
+++ b/internal/front/http/cut_short_test.go
@@ -12,16 +12,18 @@
 	"cometrack/internal/standin/byhand"
 )
 
-// receiving returns the connection on which so many bytes of a request have arrived in part; nil if there is none.
-func (cs *connections) receiving() net.Conn {
+// makeSlow makes a request that has arrived in part begin a second earlier. It reports whether there is one, all of whose
+// bytes have been read, and which has a slot if it is large.
+func (cs *connections) makeSlow(large bool) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c, x := range cs.conns {
-		if x.receiving && !x.lastRead.IsZero() {
-			return c
+		if x.receiving && !x.lastRead.IsZero() && x.hasSlot == large && !x.hasUnreadBytes(c) {
+			x.beganAt = x.beganAt.Add(-time.Second)
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 // Guards against a request without a response: its connection is closed to make room, or to free a slot for a large body,
@@ -32,19 +34,19 @@
 	}
 	large := post(fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*smallBodyBytes)) + strings.Repeat("x", 2*smallBodyBytes)
 	for name, x := range map[string]struct {
-		text string
-		cut  func(*connections)
+		text  string
+		large bool
+		cut   func(*connections)
 	}{
-		"head":       {post("Content-Length: 1\r\n\r"), (*connections).releaseDescriptor},
-		"body":       {post("Content-Length: 4\r\n\r\nbod"), (*connections).releaseDescriptor},
-		"large body": {large[:len(large)-1], (*connections).closeSlowLarge},
+		"head":       {post("Content-Length: 1\r\n\r"), false, (*connections).releaseDescriptor},
+		"body":       {post("Content-Length: 4\r\n\r\nbod"), false, (*connections).releaseDescriptor},
+		"large body": {large[:len(large)-1], true, (*connections).closeSlowLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
 			backend := &fakeCore{submitted: make(chan *message.Message, 1)}
 			f, base := newFront(t, backend)
 			c := dialRaw(t, base, x.text)
-			byhand.WaitUntil(t, "part of a request", func() bool { return f.connections.receiving() != nil })
-			time.Sleep(300 * time.Millisecond) // until the request is slow
+			byhand.WaitUntil(t, "part of a request", func() bool { return f.connections.makeSlow(x.large) })
 			x.cut(f.connections)
 			io.WriteString(c, "\n")
 			got, _ := io.ReadAll(c)
--- a/internal/front/resp/crossing_test.go
+++ b/internal/front/resp/crossing_test.go
@@ -329,29 +329,28 @@
 	f := serve(t, Options{LargeRequestBytes: rounds * maxRequestBytes})
 	body := strings.Repeat("x", 2*smallRequestBytes)
 	request := fmt.Sprintf("*2\r\n$4\r\nPING\r\n$%d\r\n%s\r\n", len(body), body)
-	var all sync.WaitGroup
 	clients := make([]*client, rounds)
 	for i := range clients {
 		clients[i] = dial(t, f)
 		io.WriteString(clients[i].conn, request[:len(request)-1])
 		byhand.WaitUntil(t, "slot", func() bool { return len(f.largeSlots) == i+1 })
 	}
-	time.Sleep(300 * time.Millisecond) // until the requests are slow
-	answers := make([]string, rounds)
-	for i, c := range clients {
-		all.Go(func() {
-			time.Sleep(time.Duration(i) * time.Millisecond)
-			io.WriteString(c.conn, request[len(request)-1:])
-			answers[i], _ = c.r.ReadString('\n')
-		})
+	f.mu.Lock()
+	for s := range f.sessions {
+		s.requestBegan = s.requestBegan.Add(-time.Second) // they are slow
 	}
-	for range rounds {
-		f.closeSlowLarge()
-		time.Sleep(time.Millisecond)
+	f.mu.Unlock()
+	for i, c := range clients {
+		if i%2 == 0 {
+			f.closeSlowLarge()
+		}
+		io.WriteString(c.conn, request[len(request)-1:])
+		if i%2 == 1 {
+			f.closeSlowLarge()
+		}
 	}
-	all.Wait()
-	for i, answer := range answers {
-		if answer != "-BUSY\r\n" && !strings.HasPrefix(answer, "-ERR PING takes") {
+	for i, c := range clients {
+		if answer, _ := c.r.ReadString('\n'); answer != "-BUSY\r\n" && !strings.HasPrefix(answer, "-ERR PING takes") {
 			t.Errorf("request %d got %q", i, answer)
 		}
 	}
--- a/internal/front/resp/leaving_test.go
+++ b/internal/front/resp/leaving_test.go
@@ -12,6 +12,7 @@
 	"cometrack/internal/core"
 	"cometrack/internal/message"
 	"cometrack/internal/netutil"
+	"cometrack/internal/permit"
 	"cometrack/internal/standin/byhand"
 )
 
@@ -241,10 +242,10 @@
 	}
 }
 
-// heldListener accepts connections whose first write is held up.
+// heldListener accepts connections whose first write is held up until the test releases it.
 type heldListener struct {
 	net.Listener
-	hold time.Duration
+	atWrite, release chan struct{}
 }
 
 func (l heldListener) Accept() (net.Conn, error) {
@@ -252,24 +253,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return &heldConn{TCPConn: conn.(*net.TCPConn), hold: l.hold}, nil
+	return &heldConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
 }
 
 type heldConn struct {
 	*net.TCPConn
-	once sync.Once
-	hold time.Duration
+	once     sync.Once
+	listener heldListener
 }
 
 func (c *heldConn) Write(b []byte) (int, error) {
-	c.once.Do(func() { time.Sleep(c.hold) })
+	c.once.Do(func() {
+		c.listener.atWrite <- struct{}{}
+		<-c.listener.release
+	})
 	return c.TCPConn.Write(b)
 }
 
 // Guards against messages that are sent on for a client that has left: the process is held up before it writes the
 // responses, and the client ends the connection in order meanwhile, with nothing to read. Its end is seen before the write.
 func TestClientLeavesBeforeAHeldUpWrite(t *testing.T) {
-	const count, hold = 3, 200 * time.Millisecond
+	const count = 1
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -277,15 +281,23 @@
 	backend := &pausedCore{withdrawn: map[string]bool{}, mayBeRead: map[string]bool{}}
 	f := New(backend, Options{Listen: ln.Addr().String(), MaxConnections: 10, Withdraw: backend.withdraw,
 		Log: slog.New(slog.DiscardHandler)})
-	f.AdoptListener(heldListener{ln, hold})
+	held := heldListener{ln, make(chan struct{}, 1), make(chan struct{})}
+	f.AdoptListener(held)
 	t.Cleanup(f.CloseListener)
 	go f.Serve()
 	c := dial(t, f)
 	fmt.Fprint(c.conn, puts(count))
-	byhand.WaitUntil(t, "submissions", func() bool { submitted, _ := backend.counts(); return submitted == count })
-	time.Sleep(hold / 2)        // the responses are at the write
-	fmt.Fprint(c.conn, puts(1)) // it is read once the client has left, and not executed
+	byhand.Await(t, held.atWrite, "write")
+	var s *session
+	f.mu.Lock()
+	for s = range f.sessions {
+	}
+	f.mu.Unlock()
+	s.accepted[0].answeredAt = time.Now().Add(-permit.MaxStall) // when it was composed; the writer waits meanwhile
+	fmt.Fprint(c.conn, puts(1))                                 // it is read once the client has left, and not executed
 	c.conn.Close()
+	byhand.WaitUntil(t, "end of the client", func() bool { return s.endedInputAt.Load() != 0 })
+	close(held.release)
 	awaitNoSessions(t, f)
 	if _, withdrawn := backend.counts(); withdrawn != count {
 		t.Errorf("%d of %d messages were withdrawn", withdrawn, count)
